--- /dev/null
+++ b/internal/core/drain/drain.go
@@ -0,0 +1,109 @@
+// Package drain decides when a daemon that has been told to stop may exit.
+//
+// A daemon is open until Begin. From then on it refuses new work at once, finishes what is in flight, and is done when
+// nothing is in flight or the limit has passed. The decision doesn't depend on other daemons, so it holds when every
+// announcement of the shutdown is lost.
+package drain
+
+import "time"
+
+// DefaultLimit is the longest time that a graceful shutdown takes. The users' platforms kill a process 45 s or more
+// after the first signal, which leaves time to close connections.
+const DefaultLimit = 30 * time.Second
+
+// Phase is the state of a shutdown.
+type Phase uint8
+
+// The phases in the order in which they are passed.
+const (
+	// Open means that no shutdown has begun.
+	Open Phase = iota
+	// Draining means that new work is refused and requests are in flight.
+	Draining
+	// Finished means that new work is refused and nothing is in flight.
+	Finished
+)
+
+// String returns the name used in logs.
+func (p Phase) String() string {
+	switch p {
+	case Open:
+		return "open"
+	case Draining:
+		return "draining"
+	case Finished:
+		return "finished"
+	default:
+		return "invalid"
+	}
+}
+
+// Machine counts requests in flight through a shutdown. It is not safe for concurrent use.
+type Machine struct {
+	limit    time.Duration
+	begun    bool
+	beganAt  time.Time
+	inFlight int
+}
+
+// New returns a machine in phase Open. A limit of zero or less means DefaultLimit.
+func New(limit time.Duration) *Machine {
+	if limit <= 0 {
+		limit = DefaultLimit
+	}
+	return &Machine{limit: limit}
+}
+
+// Begin starts the shutdown. Later calls change nothing, so that a repeated command doesn't extend the limit.
+func (m *Machine) Begin(now time.Time) {
+	if m.begun {
+		return
+	}
+	m.begun = true
+	m.beganAt = now
+}
+
+// Enter counts a new request and reports whether it may start. It returns false from Begin on; the caller then refuses
+// the request with call.ReasonLeaving and doesn't call Leave. A child call of a request in flight is a part of that
+// request and is not counted with Enter, otherwise a shutdown would interrupt its parent.
+func (m *Machine) Enter() bool {
+	if m.begun {
+		return false
+	}
+	m.inFlight++
+	return true
+}
+
+// Leave ends a request for which Enter returned true. It panics without such a request, because the count would
+// otherwise let a later request be interrupted.
+func (m *Machine) Leave() {
+	if m.inFlight == 0 {
+		panic("drain: Leave without Enter")
+	}
+	m.inFlight--
+}
+
+// Done reports whether the daemon may exit: the shutdown has begun, and nothing is in flight or the limit has passed.
+func (m *Machine) Done(now time.Time) bool {
+	if !m.begun {
+		return false
+	}
+	return m.inFlight == 0 || now.Sub(m.beganAt) >= m.limit
+}
+
+// Phase returns the current phase.
+func (m *Machine) Phase() Phase {
+	switch {
+	case !m.begun:
+		return Open
+	case m.inFlight > 0:
+		return Draining
+	default:
+		return Finished
+	}
+}
+
+// InFlight returns the number of requests in flight. After Done it is the number of requests that the limit cut off.
+func (m *Machine) InFlight() int {
+	return m.inFlight
+}
