Test token table, quarantine and drain against naive models

Cause: the three packages had no tests. Change: rapid state machines. The token table runs against a map without bounds under random issue, reissue, begin, dispatch, finish, refuse, resolve, clock and restart; quarantine against a simulation of 1 to 4 daemons whose messages are delayed and reordered; the gate and drain against their rules. Fault found by a run at 143 tokens/s: an outcome was kept for TTL + Retention, and a table of 100,000 was full. Retention now counts from the end of the run.

--- /dev/null
+++ b/internal/core/drain/drain_test.go
@@ -0,0 +1,55 @@
+package drain
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const testLimit = 10 * time.Second
+
+// Guards against new work that starts after Begin, an exit that interrupts a request before the limit, and a shutdown
+// that outlasts the limit, is extended by a second Begin, or ends without Begin.
+func TestMachineAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(testLimit)
+		now := time.Unix(1_000_000, 0)
+		var began *time.Time
+		inFlight := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": func(t *rapid.T) {
+				m.Begin(now)
+				if began == nil {
+					at := now
+					began = &at
+				}
+			},
+			"enter": func(t *rapid.T) {
+				entered := m.Enter()
+				if entered != (began == nil) {
+					t.Fatalf("entered: %v, shutdown began: %v", entered, began != nil)
+				}
+				if entered {
+					inFlight++
+				}
+			},
+			"leave": func(t *rapid.T) {
+				if inFlight == 0 {
+					t.Skip("nothing in flight")
+				}
+				m.Leave()
+				inFlight--
+			},
+			"clock": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 6).Draw(t, "seconds")) * time.Second)
+			},
+			"": func(t *rapid.T) {
+				want := began != nil && (inFlight == 0 || now.Sub(*began) >= testLimit)
+				if m.Done(now) != want || m.InFlight() != inFlight {
+					t.Fatalf("done %v, want %v; in flight %d, want %d", m.Done(now), want, m.InFlight(), inFlight)
+				}
+			},
+		})
+	})
+}
--- a/internal/core/outcome/table.go
+++ b/internal/core/outcome/table.go
@@ -154,7 +154,7 @@
 	e.state = stateFinished
 	e.answer = a
 	t.bytes += a.size()
-	t.schedule(e, later(t.now, e.token.Expiry).Add(t.cfg.Retention))
+	t.schedule(e, later(t.now.Add(t.cfg.Retention), e.token.Expiry))
 }
 
 // Refuse records that the request will not run. It is allowed only if the request was not dispatched: for an issued
