Add numbered log events and their catalogue

Cause: the daemon logs through this package; operators need one page that says what each line means and what to do. Events that a peer or a surge of calls can cause in any number are written at most once per second and carry the number of those left out. Ruled out: one function per event. A call with too few or too many values is written with null or "surplus" instead, so a wrong call loses nothing.

--- /dev/null
+++ b/internal/events/catalogue.go
@@ -0,0 +1,89 @@
+package events
+
+// Start and stop.
+var (
+	DaemonStarting  = define(1001, info, "daemon-starting", "daemon is starting", "version", "peer_address", "call_address", "admin_address", "backend")
+	DaemonServing   = define(1002, info, "daemon-serving", "daemon accepts calls", "startup")
+	StartFailed     = define(1003, failure, "start-failed", "daemon could not start", "step", "error")
+	DrainBegun      = define(1004, info, "drain-begun", "graceful shutdown began; new work is refused", "cause", "in_flight", "limit")
+	DrainFinished   = define(1005, info, "drain-finished", "graceful shutdown finished; nothing is in flight", "duration")
+	DrainLimit      = define(1006, failure, "drain-limit-passed", "drain limit passed with requests in flight", "in_flight", "limit")
+	StoppedAtOnce   = define(1007, warning, "stopped-at-once", "second signal ended the graceful shutdown", "in_flight")
+	DaemonStopped   = define(1008, info, "daemon-stopped", "daemon stopped", "uptime")
+	SettingsInvalid = define(1009, failure, "settings-invalid", "settings were rejected", "file", "error")
+	ListenerFailed  = define(1010, failure, "listener-failed", "listener stopped accepting connections", "listener", "address", "error")
+)
+
+// Membership.
+var (
+	MemberJoined      = define(2001, info, "member-joined", "a daemon joined", "address", "member_service", "member_zone", "member_incarnation")
+	MemberChanged     = define(2002, info, "member-changed", "a daemon changed its state", "address", "member_incarnation", "from", "to")
+	MemberSuspect     = define(2003, warning, "member-suspect", "a daemon doesn't answer probes", "address", "member_incarnation")
+	MemberDown        = define(2004, warning, "member-down", "a daemon is considered down", "address", "member_incarnation")
+	SuspicionRefuted  = define(2005, warning, "suspicion-refuted", "other daemons suspected this daemon; it refuted the suspicion", "by")
+	PeersUnreachable  = limited(2006, failure, "peers-unreachable", "none of the known peers can be reached", "peers")
+	RelayLeaseTaken   = define(2007, info, "relay-lease-taken", "this daemon became a relay of its zone", "slot")
+	RelayLeaseLost    = define(2008, warning, "relay-lease-lost", "this daemon's relay lease expired or was taken", "slot")
+	ZoneUnreachable   = define(2009, failure, "zone-unreachable", "no daemon of a zone can be reached", "unreachable_zone")
+	ZoneReachable     = define(2010, info, "zone-reachable", "a zone can be reached again", "reachable_zone", "outage")
+	MembershipInvalid = limited(2011, warning, "membership-message-invalid", "a membership message was rejected", "from", "error")
+)
+
+// Configuration and contracts.
+var (
+	ConfigInEffect    = define(3001, info, "config-in-effect", "a configuration is in effect", "epoch", "revision", "change_id", "changed_by", "source")
+	ConfigInvalid     = limited(3002, failure, "config-invalid", "a configuration document was rejected", "epoch", "revision", "source", "error")
+	ConfigStoreOlder  = limited(3003, failure, "config-store-older", "the platform holds an older configuration than the one in effect", "stored_epoch", "stored_revision", "epoch", "revision")
+	PresetChanged     = define(3004, info, "preset-changed", "the active preset changed", "from", "to")
+	ContractExpiring  = define(3005, warning, "contract-expiring", "a support contract expires soon", "batch", "contract", "expires", "days")
+	ContractExpired   = define(3006, failure, "contract-expired", "a support contract expired; its services are limited to class normal", "batch", "contract", "expires", "services")
+	ConfigMissing     = limited(3007, warning, "config-missing", "no configuration is known; calls are refused")
+	ConfigPullFailed  = limited(3008, warning, "config-pull-failed", "a peer's newer configuration could not be fetched", "from", "epoch", "revision", "error")
+	ConfigChangeMade  = define(3009, info, "config-change-accepted", "an operator's change was accepted", "epoch", "revision", "change_id", "changed_by")
+	ConfigChangeLost  = define(3010, warning, "config-change-lost-race", "an operator's change lost the race to another one", "change_id", "winning_revision", "winning_changed_by")
+	ConfigChangeVague = define(3011, failure, "config-change-unknown", "the outcome of an operator's change is not known", "change_id", "error")
+)
+
+// Calls, overload and routing.
+var (
+	OverloadBegun      = define(4001, warning, "overload-begun", "requests are being shed", "limit", "in_flight", "waiting", "cutoff")
+	OverloadEnded      = define(4002, info, "overload-ended", "requests are no longer shed", "duration", "refused")
+	UpstreamEjected    = define(4003, warning, "upstream-ejected", "an upstream was ejected from routing", "target_service", "address", "cause")
+	UpstreamReadmitted = define(4004, info, "upstream-readmitted", "an ejected upstream is used again", "target_service", "address")
+	NoUpstream         = limited(4005, failure, "no-upstream", "a service has no reachable upstream", "target_service")
+	RetriesExhausted   = limited(4006, warning, "retry-ratio-exhausted", "retries reached their share of the first attempts", "target_service")
+	LinkBudgetSpent    = limited(4007, warning, "link-budget-spent", "the byte budget of the link between regions is spent", "target_service", "budget")
+	TokenTableFull     = limited(4008, failure, "token-table-full", "no token can be issued; non-idempotent requests are refused", "tokens")
+	OutcomeUnknown     = limited(4009, failure, "outcome-unknown", "the outcome of a non-idempotent request is not known", "target_service", "request_id", "reason")
+	ResponseTruncated  = limited(4010, failure, "response-truncated", "a response broke off; the caller's connection was aborted", "target_service", "address", "received", "declared")
+	CallFinished       = define(4011, debug, "call-finished", "a call ended", "target_service", "request_id", "class", "outcome", "reason", "duration")
+	HandlerPanicked    = limited(4012, failure, "handler-panicked", "a handler panicked; its request was aborted", "panic", "stack")
+	DepthExceeded      = limited(4013, failure, "depth-exceeded", "a call chain is deeper than the limit", "target_service", "request_id")
+	RequestMalformed   = limited(4014, debug, "request-malformed", "a request was rejected as malformed", "remote", "error")
+)
+
+// Quarantine.
+var (
+	BackendCrashed       = define(5001, failure, "backend-server-crashed", "the backend server died", "in_flight", "error")
+	BackendAvailable     = define(5002, info, "backend-server-available", "the backend server accepts connections", "outage")
+	SuspectsRecorded     = define(5003, warning, "suspects-recorded", "requests in flight at a crash became suspects", "fingerprints")
+	FingerprintConfirmed = define(5004, failure, "fingerprint-confirmed", "a request crashed a backend server while it ran alone; it is refused everywhere", "fingerprint", "until")
+	SuspectCleared       = define(5005, info, "suspect-cleared", "a suspect completed and is cleared", "fingerprint")
+	QuarantineLifted     = define(5006, info, "quarantine-lifted", "an operator lifted a quarantine", "fingerprint")
+	RequestQuarantined   = limited(5007, warning, "request-quarantined", "a confirmed request was refused", "fingerprint", "request_id")
+	QuarantineListFull   = limited(5008, failure, "quarantine-list-full", "the quarantine list is full; new suspects are not recorded", "records")
+)
+
+// Transport and platform.
+var (
+	ConnectionFailed    = limited(6001, warning, "connection-failed", "a connection to a peer could not be opened", "address", "error")
+	ConnectionSilent    = limited(6002, warning, "connection-silent", "a connection went silent with calls outstanding; a new one replaces it", "address", "calls")
+	PeerRejected        = limited(6003, failure, "peer-rejected", "a peer's certificate was rejected", "remote", "error")
+	MessageRejected     = limited(6004, warning, "message-rejected", "a peer's message was rejected", "remote", "error")
+	PlatformUnavailable = define(6005, warning, "platform-unavailable", "the platform doesn't answer; the configuration stays as it is", "operation", "error")
+	PlatformAvailable   = define(6006, info, "platform-available", "the platform answers again", "outage")
+	PlatformUnknown     = limited(6007, warning, "platform-write-unknown", "the outcome of a platform write is not known", "operation", "error")
+	ExportFailed        = limited(6008, warning, "trace-export-failed", "trace spans could not be exported", "error")
+	CertificateExpiring = define(6009, failure, "certificate-expiring", "this daemon's certificate expires soon", "expires")
+	SendFailed          = limited(6010, debug, "send-failed", "a control message could not be sent", "address", "error")
+)
--- /dev/null
+++ b/internal/events/event.go
@@ -0,0 +1,61 @@
+// Package events writes numbered log events as JSON lines over logrus.
+//
+// Every line that a daemon logs is one Event of the registry. The number is stable: an event that is no longer logged
+// leaves a gap, and its number is not reused. docs/events.md says what each event means and what an operator does; a
+// test keeps the two equal.
+//
+// Groups: 1xxx start and stop, 2xxx membership, 3xxx configuration and contracts, 4xxx calls, overload and routing,
+// 5xxx quarantine, 6xxx transport and platform.
+package events
+
+import (
+	"slices"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Event is one kind of log line.
+type Event struct {
+	Number int
+	Level  logrus.Level
+	// Name is unique and in kebab-case.
+	Name string
+	// Message is the same on each line, so that lines can be grouped by it. What varies is in the fields.
+	Message string
+	// Fields names the values of Logger.Log in their order.
+	Fields []string
+	// Limited events are written at most once per LimitInterval, since a peer or a surge of calls can cause any
+	// number of them. The next line carries the number of those left out as the field "suppressed".
+	Limited bool
+}
+
+// Levels of events.
+const (
+	debug   = logrus.DebugLevel
+	info    = logrus.InfoLevel
+	warning = logrus.WarnLevel
+	failure = logrus.ErrorLevel
+)
+
+var registry []*Event
+
+// define adds an event to the registry.
+func define(number int, level logrus.Level, name, message string, fields ...string) *Event {
+	e := &Event{Number: number, Level: level, Name: name, Message: message, Fields: fields}
+	registry = append(registry, e)
+	return e
+}
+
+// limited is define for an event that is written at most once per LimitInterval.
+func limited(number int, level logrus.Level, name, message string, fields ...string) *Event {
+	e := define(number, level, name, message, fields...)
+	e.Limited = true
+	return e
+}
+
+// All returns the registry in the order of the numbers.
+func All() []*Event {
+	all := slices.Clone(registry)
+	slices.SortFunc(all, func(a, b *Event) int { return a.Number - b.Number })
+	return all
+}
--- /dev/null
+++ b/internal/events/logger.go
@@ -0,0 +1,115 @@
+package events
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// LimitInterval is the shortest time between two lines of one limited event.
+const LimitInterval = time.Second
+
+// Logger writes events. It is safe for concurrent use.
+type Logger struct {
+	log   *logrus.Logger
+	fixed logrus.Fields
+	clock func() time.Time
+
+	mu     sync.Mutex
+	limits map[int]limitState
+}
+
+type limitState struct {
+	last       time.Time
+	suppressed int
+}
+
+// New returns a logger that writes JSON lines of the given level and above ("debug", "info", "warning" or "error") to
+// w. The fixed fields, such as the daemon's name and zone, are on every line.
+func New(w io.Writer, level string, fixed map[string]any) (*Logger, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil || parsed < failure || parsed > debug {
+		return nil, fmt.Errorf("log level %q, allowed are debug, info, warning and error", level)
+	}
+	log := logrus.New()
+	log.SetOutput(w)
+	log.SetLevel(parsed)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return &Logger{log: log, fixed: fixed, clock: time.Now, limits: make(map[int]limitState)}, nil
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *Logger {
+	l, _ := New(io.Discard, "error", nil) // the level is valid
+	return l
+}
+
+// Log writes one line. The values belong to e.Fields in their order; a missing one is written as null, and surplus ones
+// are in the field "surplus", so that a wrong call loses nothing.
+func (l *Logger) Log(e *Event, values ...any) {
+	if !l.log.IsLevelEnabled(e.Level) {
+		return
+	}
+	suppressed, ok := l.admit(e)
+	if !ok {
+		return
+	}
+	fields := make(logrus.Fields, len(l.fixed)+len(e.Fields)+3)
+	for name, v := range l.fixed {
+		fields[name] = encode(v)
+	}
+	fields["event"] = e.Number
+	fields["name"] = e.Name
+	if suppressed > 0 {
+		fields["suppressed"] = suppressed
+	}
+	addValues(fields, e, values)
+	l.log.WithFields(fields).WithTime(l.clock()).Log(e.Level, e.Message)
+}
+
+func addValues(fields logrus.Fields, e *Event, values []any) {
+	for i, name := range e.Fields {
+		fields[name] = nil
+		if i < len(values) {
+			fields[name] = encode(values[i])
+		}
+	}
+	if len(values) > len(e.Fields) {
+		fields["surplus"] = fmt.Sprint(values[len(e.Fields):]...)
+	}
+}
+
+// encode turns values whose JSON form is unclear to a reader, such as durations in nanoseconds, into text.
+func encode(v any) any {
+	switch v := v.(type) {
+	case error:
+		return v.Error()
+	case time.Time:
+		return v
+	case fmt.Stringer:
+		return v.String()
+	default:
+		return v
+	}
+}
+
+// admit reports whether a line may be written, and how many lines of the event were left out before it.
+func (l *Logger) admit(e *Event) (suppressed int, ok bool) {
+	if !e.Limited {
+		return 0, true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock()
+	s, seen := l.limits[e.Number]
+	if seen && now.Sub(s.last) < LimitInterval {
+		s.suppressed++
+		l.limits[e.Number] = s
+		return 0, false
+	}
+	l.limits[e.Number] = limitState{last: now}
+	return s.suppressed, true
+}
