--- a/internal/transport/call.go
+++ b/internal/transport/call.go
@@ -87,8 +87,8 @@
 
 // startExchange opens a stream. Its errors are *NotSentError.
 func (t *Transport) startExchange(ctx context.Context, address string) (*exchange, error) {
-	if err := t.begin(&t.outgoing); err != nil {
-		return nil, &NotSentError{Address: address, Err: err}
+	if !t.beginOutgoing() {
+		return nil, &NotSentError{Address: address, Err: ErrClosed}
 	}
 	var err error
 	for range openAttempts {
@@ -107,17 +107,19 @@
 			break
 		}
 	}
-	t.end(&t.outgoing)
+	t.endOutgoing()
 	return nil, &NotSentError{Address: address, Err: err}
 }
 
 // end ends the exchange. Later calls do nothing.
 func (x *exchange) end(answered bool) {
-	x.once.Do(func() {
-		x.stop()
-		x.t.pool.release(x.conn, answered)
-		x.t.end(&x.t.outgoing)
-	})
+	x.once.Do(func() { x.release(answered) })
+}
+
+func (x *exchange) release(answered bool) {
+	x.stop()
+	x.t.pool.release(x.conn, answered)
+	x.t.endOutgoing()
 }
 
 // fail gives up the exchange and converts the error.
@@ -142,6 +144,14 @@
 	x.end(true)
 }
 
+// abandon gives up an exchange that has not ended.
+func (x *exchange) abandon() {
+	x.once.Do(func() {
+		reset(x.stream, codeCanceled)
+		x.release(true)
+	})
+}
+
 // send writes the header in b and the body. Bodies that are not in memory are sent by another goroutine. Errors of
 // the stream show again, with their reason, when the answer is read.
 func (x *exchange) send(b *bytes.Buffer, body io.Reader) {
@@ -175,7 +185,9 @@
 	if err != nil {
 		return false // the reader returns the same error again
 	}
-	b.Write(f.Frame(n))
+	if n > 0 {
+		b.Write(f.Frame(n))
+	}
 	b.Write(wire.AppendEnd(b.AvailableBuffer()))
 	return true
 }
@@ -222,11 +234,6 @@
 
 // Close implements io.Closer. It resets the stream unless the body was read to its end.
 func (b *answerBody) Close() error {
-	b.x.once.Do(func() {
-		reset(b.x.stream, codeCanceled)
-		b.x.stop()
-		b.x.t.pool.release(b.x.conn, true)
-		b.x.t.end(&b.x.t.outgoing)
-	})
+	b.x.abandon()
 	return nil
 }
--- a/internal/transport/callstream.go
+++ b/internal/transport/callstream.go
@@ -81,16 +81,20 @@
 	reset(s.stream, codeAborted)
 }
 
-// endTimeout bounds the wait for the caller's end of the stream after the answer was written. It covers the transfer
-// of an answer that is still in the send buffers.
+// endTimeout is added to the time that the caller waits (CallHeader.Timeout), to bound the wait for the caller's end of
+// the stream after the answer was written.
 const endTimeout = 5 * time.Second
 
+// maxTimeout is the longest time that a caller may wait, section 2.1 of the design.
+const maxTimeout = 10 * time.Minute
+
 // awaitEnd waits until the caller has received the answer, which it shows by ending its direction of the stream. What
 // it still sends of its body is discarded.
 func (s *CallStream) awaitEnd() {
 	_ = s.stream.SetReadDeadline(time.Now()) // interrupts a handler's goroutine that still reads the body
 	s.body.end()
-	_ = s.stream.SetReadDeadline(time.Now().Add(endTimeout))
+	wait := endTimeout + min(max(0, s.header.Timeout), maxTimeout)
+	_ = s.stream.SetReadDeadline(time.Now().Add(wait))
 	if _, err := io.Copy(io.Discard, s.stream); err != nil {
 		s.stream.CancelRead(codeAborted)
 	}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -74,6 +75,8 @@
 	}
 	if _, err := stream.Write(b.Bytes()); err == nil {
 		_ = stream.Close()
+	} else {
+		stream.CancelWrite(codeBroken)
 	}
 	reply, err := wire.ReadReply(stream)
 	if err != nil {
@@ -98,7 +101,7 @@
 // finishRead reads the end of a stream after its last message. quic-go keeps a stream until its end was read.
 func finishRead(stream *quic.Stream) {
 	var b [1]byte
-	if n, _ := stream.Read(b[:]); n > 0 {
+	if n, err := stream.Read(b[:]); n > 0 || err != io.EOF {
 		stream.CancelRead(codeBroken)
 	}
 }
--- a/internal/transport/control.go
+++ b/internal/transport/control.go
@@ -20,12 +20,11 @@
 	if err != nil {
 		return err
 	}
-	if _, err := x.stream.Write(b.Bytes()); err == nil {
-		_ = x.stream.Close()
-	}
+	_, writeErr := x.stream.Write(b.Bytes())
+	_ = x.stream.Close()
 	var end [1]byte
-	if n, err := x.stream.Read(end[:]); n > 0 || err != io.EOF {
-		return x.fail(errors.Join(err, errUnexpectedReply(n)))
+	if n, err := x.stream.Read(end[:]); n > 0 || err != io.EOF || writeErr != nil {
+		return x.fail(errors.Join(err, writeErr, errUnexpectedReply(n)))
 	}
 	x.end(true)
 	return nil
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"time"
 )
@@ -172,7 +173,8 @@
 
 // afterFailure uses a new port for the next attempt where the peer didn't respond. The mutex is held.
 func (p *pool) afterFailure(at *peer, err error) {
-	if errors.Is(err, context.DeadlineExceeded) {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
 		at.freshUntil = time.Now().Add(freshPeriod)
 	}
 	p.dropEmpty(at)
--- a/internal/transport/serve.go
+++ b/internal/transport/serve.go
@@ -90,11 +90,11 @@
 
 // serveStream reads the first message of a stream and passes it on.
 func (t *Transport) serveStream(c *quic.Conn, s *quic.Stream) {
-	if t.begin(&t.incoming) != nil {
+	if !t.beginIncoming() {
 		reset(s, codeRefused)
 		return
 	}
-	defer t.end(&t.incoming)
+	defer t.endIncoming()
 	_ = s.SetReadDeadline(time.Now().Add(t.cfg.MessageTimeout))
 	m, err := wire.ReadFirst(s)
 	if err != nil {
@@ -102,11 +102,12 @@
 		t.reject(c, err)
 		return
 	}
-	_ = s.SetReadDeadline(time.Time{})
 	if m.Call != nil {
+		_ = s.SetReadDeadline(time.Time{})
 		t.serveCall(c, s, m.Call)
 		return
 	}
+	finishRead(s)
 	t.serveControl(c, s, m)
 }
 
@@ -133,7 +134,6 @@
 func (t *Transport) serveControl(c *quic.Conn, s *quic.Stream, m wire.Message) {
 	from := c.RemoteAddr().String()
 	if m.Kind == wire.KindNotice {
-		finishRead(s)
 		_ = s.Close() // tells the sender that the message was received
 		_, _ = t.cfg.Handler.ServeControl(t.ctx, from, m.Control)
 		return
@@ -150,7 +150,6 @@
 		return
 	}
 	_ = s.Close()
-	finishRead(s)
 }
 
 // Codes of Refusals that the transport itself sends.
--- a/internal/transport/tls.go
+++ b/internal/transport/tls.go
@@ -75,13 +75,14 @@
 }
 
 // resetKey derives the key of stateless resets from the private key and the address. A daemon that restarts with the
-// same certificate on the same address thereby tells the peers at once that their old connections are gone.
-func resetKey(c *tls.Config, address string) (*quic.StatelessResetKey, error) {
+// same certificate on the same address thereby tells the peers at once that their old connections are gone. A key that
+// can't be marshaled, as in a hardware module, disables the resets.
+func resetKey(c *tls.Config, address string) *quic.StatelessResetKey {
 	der, err := x509.MarshalPKCS8PrivateKey(c.Certificates[0].PrivateKey)
 	if err != nil {
-		return nil, fmt.Errorf("derive the key of stateless resets: %w", err)
+		return nil
 	}
 	label := "guavapoint stateless reset " + address + "\n"
 	key := quic.StatelessResetKey(sha256.Sum256(append([]byte(label), der...)))
-	return &key, nil
+	return &key
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -74,13 +74,9 @@
 	if err != nil {
 		return fmt.Errorf("transport: %w", err)
 	}
-	key, err := resetKey(t.cfg.TLS, udp.LocalAddr().String())
-	if err != nil {
-		return errors.Join(err, udp.Close())
-	}
 	t.socket = &socket{conn: udp, quic: &quic.Transport{
 		Conn:              udp,
-		StatelessResetKey: key,
+		StatelessResetKey: resetKey(t.cfg.TLS, udp.LocalAddr().String()),
 		ConnContext:       t.watchHandshake,
 	}}
 	t.listen, err = t.socket.quic.Listen(serverTLS(t.cfg.TLS), t.cfg.serverQUIC())
@@ -93,23 +89,40 @@
 // Address returns the UDP address on which the transport listens.
 func (t *Transport) Address() string { return t.socket.conn.LocalAddr().String() }
 
-// begin counts a stream. It returns ErrClosed for a stream that Close doesn't let start. Streams opened by peers are
-// refused from the begin of Close; own ones start as long as a peer's stream is open, because its handler may need
-// them.
-func (t *Transport) begin(count *int) error {
+// beginIncoming counts a stream that a peer opened. It reports false after the begin of Close.
+func (t *Transport) beginIncoming() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.closing && (count == &t.incoming || t.incoming == 0) {
-		return ErrClosed
+	if t.closing {
+		return false
 	}
-	*count++
-	return nil
+	t.incoming++
+	return true
+}
+
+func (t *Transport) endIncoming() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.incoming--
+	t.signalQuiet()
+}
+
+// beginOutgoing counts an own stream. During Close it reports false unless a peer's stream is open, whose handler may
+// need calls of its own.
+func (t *Transport) beginOutgoing() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closing && t.incoming == 0 {
+		return false
+	}
+	t.outgoing++
+	return true
 }
 
-func (t *Transport) end(count *int) {
+func (t *Transport) endOutgoing() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	*count--
+	t.outgoing--
 	t.signalQuiet()
 }
 
--- a/internal/wire/body.go
+++ b/internal/wire/body.go
@@ -1,9 +1,6 @@
 package wire
 
-import (
-	"bytes"
-	"io"
-)
+import "io"
 
 // FrameBuffer holds one body frame with its prefix. Fill Space, then call Frame with the number of bytes filled.
 type FrameBuffer [PrefixSize + frameSize]byte
@@ -21,18 +18,6 @@
 	return f[:PrefixSize+n]
 }
 
-// WriteBody appends a body frame with p, at most MaxFrame bytes, to b.
-func WriteBody(b *bytes.Buffer, p []byte) error {
-	if len(p) > MaxFrame {
-		return &SizeError{Kind: KindBody, Size: len(p), Max: MaxFrame}
-	}
-	var prefix [PrefixSize]byte
-	putPrefix(prefix[:], KindBody, len(p))
-	b.Write(prefix[:])
-	b.Write(p)
-	return nil
-}
-
 // AppendEnd appends the end frame of a request body to dst.
 func AppendEnd(dst []byte) []byte {
 	return append(dst, byte(KindEnd), 0, 0, 0, 0)
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -31,12 +31,14 @@
 }
 
 // newDecoding refuses duplicate keys, tags, indefinite lengths and trailing bytes. Unknown fields are skipped, so that
-// daemons of two versions understand each other during an upgrade.
+// daemons of two versions understand each other during an upgrade. Strings need not be UTF-8: HTTP allows any byte from
+// 0x80 in header values, and a call must not fail for one.
 func newDecoding() cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		IndefLength:      cbor.IndefLengthForbidden,
 		TagsMd:           cbor.TagsForbidden,
+		UTF8:             cbor.UTF8DecodeInvalid,
 		MaxNestedLevels:  maxNesting,
 		MaxArrayElements: maxElements,
 		MaxMapPairs:      maxPairs,
@@ -62,7 +64,7 @@
 	b.Write(prefix[:])
 	if err := encoding.MarshalToBuffer(v, b); err != nil {
 		b.Truncate(start)
-		return &DecodeError{Kind: k, Err: err}
+		return &CodecError{Kind: k, Err: err}
 	}
 	n := b.Len() - start - PrefixSize
 	if n > k.max() {
@@ -104,7 +106,7 @@
 // ReadFirst reads the first message of a stream: a call header, a control request or a control notice.
 //
 // All Read functions return io.EOF for a stream that ends before the message, io.ErrUnexpectedEOF for one that ends
-// within it, and *KindError, *SizeError, *DecodeError or *FieldError for a message that is refused. Other errors are
+// within it, and *KindError, *SizeError, *CodecError or *FieldError for a message that is refused. Other errors are
 // those of r.
 func ReadFirst(r io.Reader) (Message, error) {
 	var scratch [PrefixSize]byte
@@ -167,7 +169,7 @@
 		return io.ErrUnexpectedEOF
 	}
 	if err := decoding.Unmarshal(b.Bytes(), v); err != nil {
-		return &DecodeError{Kind: k, Err: err}
+		return &CodecError{Kind: k, Err: err}
 	}
 	return v.validate()
 }
--- a/internal/wire/errors.go
+++ b/internal/wire/errors.go
@@ -25,19 +25,19 @@
 	return fmt.Sprintf("got %s, want %s", e.Got, e.Want)
 }
 
-// DecodeError reports a payload that is not valid CBOR for its kind.
-type DecodeError struct {
+// CodecError reports a payload that is not valid CBOR for its kind.
+type CodecError struct {
 	Kind Kind
 	Err  error
 }
 
 // Error implements error.
-func (e *DecodeError) Error() string {
-	return fmt.Sprintf("decode %s: %v", e.Kind, e.Err)
+func (e *CodecError) Error() string {
+	return fmt.Sprintf("%s: %v", e.Kind, e.Err)
 }
 
 // Unwrap returns the error of the CBOR library.
-func (e *DecodeError) Unwrap() error { return e.Err }
+func (e *CodecError) Unwrap() error { return e.Err }
 
 // FieldError reports a field with a value that no message may have.
 type FieldError struct {
