Add strict JSON settings of a daemon

Cause: a daemon that starts with a misspelt field, a duration without a unit or an unreachable peer address fails later, where the reason is hard to see.

Ruled out: encoding/json with DisallowUnknownFields. It stops at the first problem, keeps the last of two duplicate fields and matches field names without regard to case.

Change: the file is parsed into a tree that keeps duplicates, and readers collect every problem with file, field path, what was found and what is allowed. TLS files are read and the certificate is matched with its key. The backend URL is limited to loopback, because that hop is not encrypted. Announced addresses can't be unspecified. Platform and collector URLs hold IP addresses and no credentials.

Conclusion: the daemon can rely on a Settings value without checks of its own.

--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,170 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+)
+
+// Load reads and checks a settings file, including the TLS files that it names. It returns a *ReadError when the file
+// can't be read and an *InvalidError with all problems when its content is not accepted.
+func Load(file string) (*Settings, error) {
+	data, err := readFile(file)
+	if err != nil {
+		return nil, &ReadError{File: file, Err: err}
+	}
+	s, problems := decode(file, data)
+	if s != nil {
+		s.TLS.resolve(filepath.Dir(file))
+		problems = append(problems, s.TLS.check(file)...)
+	}
+	if len(problems) > 0 {
+		return nil, &InvalidError{Problems: problems}
+	}
+	return s, nil
+}
+
+// Parse checks the content of a settings file without touching the TLS files that it names. The file name is used in
+// errors only. It returns an *InvalidError with all problems.
+func Parse(file string, data []byte) (*Settings, error) {
+	s, problems := decode(file, data)
+	if len(problems) > 0 {
+		return nil, &InvalidError{Problems: problems}
+	}
+	return s, nil
+}
+
+// readFile reads one byte more than allowed, so that decode can tell a file that is too large.
+func readFile(file string) ([]byte, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(io.LimitReader(f, MaxFileSize+1))
+}
+
+// decode returns nil settings when the data is not a JSON object.
+func decode(file string, data []byte) (*Settings, []Problem) {
+	r := &reader{file: file}
+	if len(data) > MaxFileSize {
+		r.report("", fmt.Sprintf("more than %d bytes", MaxFileSize), fmt.Sprintf("up to %d bytes", MaxFileSize))
+		return nil, r.problems
+	}
+	root, err := parseTree(data)
+	if err != nil {
+		r.report("", err.Error(), "one JSON object")
+		return nil, r.problems
+	}
+	if root.kind != kindObject {
+		r.report("", describe(&root), "one JSON object")
+		return nil, r.problems
+	}
+	s := r.settings(&root)
+	return s, r.problems
+}
+
+func (r *reader) settings(root *node) *Settings {
+	o := r.object("", root, "name", "service", "region", "zone", "peer_address", "call_address", "admin_address",
+		"backend", "tls", "platform", "peers", "calls", "telemetry", "log", "drain_limit")
+	s := &Settings{
+		Name:         o.text("name", "", nameCheck),
+		Service:      o.text("service", "", nameCheck),
+		Region:       o.text("region", "", nameCheck),
+		Zone:         o.text("zone", "", nameCheck),
+		PeerAddress:  o.text("peer_address", "", addressCheck),
+		CallAddress:  o.text("call_address", "", addressCheck),
+		AdminAddress: o.text("admin_address", "", listenCheck),
+	}
+	if s.AdminAddress != "" && s.AdminAddress == s.CallAddress {
+		r.report("admin_address", strconv.Quote(s.AdminAddress)+", which is also call_address", "an address of its own")
+	}
+	s.Backend = r.backend(o.get("backend"))
+	s.TLS = r.tls(o.get("tls"))
+	s.Platform = r.platform(o.get("platform"))
+	s.Peers = o.list("peers", 0, MaxPeers, addressCheck)
+	s.Calls = o.list("calls", 0, MaxCalls, nameCheck)
+	telemetry := r.object("telemetry", o.get("telemetry"), "otlp_url")
+	s.Telemetry.OTLPURL = telemetry.text("otlp_url", "", collectorCheck)
+	log := r.object("log", o.get("log"), "level")
+	s.Log.Level = log.text("level", DefaultLogLevel, levelCheck)
+	s.DrainLimit = o.duration("drain_limit", DefaultDrainLimit, MinDrainLimit, MaxDrainLimit)
+	return s
+}
+
+func (r *reader) backend(n *node) Backend {
+	o := r.object("backend", n, "url", "slots", "connections")
+	b := Backend{
+		URL:         o.text("url", "", backendCheck),
+		Slots:       o.integer("slots", 1, MaxSlots),
+		Connections: o.integer("connections", 1, MaxConnections),
+	}
+	if b.Connections != 0 && b.Connections < b.Slots {
+		r.report("backend.connections", fmt.Sprintf("the number %d", b.Connections),
+			fmt.Sprintf("at least backend.slots (%d), since each running request takes a connection", b.Slots))
+	}
+	return b
+}
+
+func (r *reader) tls(n *node) TLS {
+	o := r.object("tls", n, "certificate", "key", "authority")
+	return TLS{
+		Certificate: o.text("certificate", "", fileCheck),
+		Key:         o.text("key", "", fileCheck),
+		Authority:   o.text("authority", "", fileCheck),
+	}
+}
+
+func (r *reader) platform(n *node) Platform {
+	o := r.object("platform", n, "urls")
+	return Platform{URLs: o.list("urls", 1, MaxPlatformURLs, platformCheck)}
+}
+
+// resolve makes relative names relative to dir.
+func (t *TLS) resolve(dir string) {
+	for _, name := range []*string{&t.Certificate, &t.Key, &t.Authority} {
+		if *name != "" && !filepath.IsAbs(*name) {
+			*name = filepath.Join(dir, *name)
+		}
+	}
+}
+
+// check reads the files. Files that were not named are reported by decode.
+func (t *TLS) check(file string) []Problem {
+	r := &reader{file: file}
+	certificate := r.readPEM("tls.certificate", t.Certificate)
+	key := r.readPEM("tls.key", t.Key)
+	authority := r.readPEM("tls.authority", t.Authority)
+	if certificate != nil && key != nil {
+		if _, err := tls.X509KeyPair(certificate, key); err != nil {
+			r.report("tls.certificate", fmt.Sprintf("the file %q that doesn't fit tls.key (%v)", t.Certificate, err),
+				"a PEM certificate and the PEM key that belongs to it")
+		}
+	}
+	if authority != nil && !x509.NewCertPool().AppendCertsFromPEM(authority) {
+		r.report("tls.authority", fmt.Sprintf("the file %q without a certificate", t.Authority), "PEM certificates")
+	}
+	return r.problems
+}
+
+// readPEM returns nil after a problem.
+func (r *reader) readPEM(path, name string) []byte {
+	if name == "" {
+		return nil
+	}
+	data, err := readFile(name)
+	if err == nil {
+		return data
+	}
+	var pathError *os.PathError
+	if errors.As(err, &pathError) {
+		err = pathError.Err
+	}
+	r.report(path, fmt.Sprintf("the file %q that can't be read (%v)", name, err), "a readable PEM file")
+	return nil
+}
--- /dev/null
+++ b/internal/settings/reader.go
@@ -0,0 +1,279 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// reader converts nodes into values and collects the problems that it meets.
+type reader struct {
+	file     string
+	problems []Problem
+}
+
+func (r *reader) report(path, found, allowed string) {
+	r.problems = append(r.problems, Problem{File: r.file, Field: path, Found: found, Allowed: allowed})
+}
+
+// object is a JSON object whose fields are known to be allowed and unique.
+type object struct {
+	r    *reader
+	path string
+	node *node // nil when the object is absent
+	// mistyped is set when another type stands in its place. That is reported once, not again for each field.
+	mistyped bool
+}
+
+// missing reports a required field that is absent.
+func (o object) missing(name, allowed string) {
+	if !o.mistyped {
+		o.r.report(o.join(name), "nothing", allowed)
+	}
+}
+
+// object checks the field names of n. A nil n reads as an object without fields.
+func (r *reader) object(path string, n *node, allowed ...string) object {
+	o := object{r: r, path: path}
+	if n == nil {
+		return o
+	}
+	if n.kind != kindObject {
+		r.report(path, describe(n), "an object with the fields "+strings.Join(allowed, ", "))
+		o.mistyped = true
+		return o
+	}
+	o.node = n
+	seen := make(map[string]bool)
+	for _, f := range n.fields {
+		switch {
+		case !slices.Contains(allowed, f.name):
+			r.report(o.join(f.name), "an unknown field", "the fields "+strings.Join(allowed, ", "))
+		case seen[f.name]:
+			r.report(o.join(f.name), "the field a second time", "each field once")
+		}
+		seen[f.name] = true
+	}
+	return o
+}
+
+func (o object) join(name string) string {
+	if o.path == "" {
+		return name
+	}
+	return o.path + "." + name
+}
+
+// get returns the first field with the name, or nil.
+func (o object) get(name string) *node {
+	if o.node == nil {
+		return nil
+	}
+	for i := range o.node.fields {
+		if o.node.fields[i].name == name {
+			return &o.node.fields[i].value
+		}
+	}
+	return nil
+}
+
+// text returns a string field that passes check. An absent field is reported unless a default is given.
+func (o object) text(name, fallback string, c check) string {
+	n := o.get(name)
+	if n == nil {
+		if fallback == "" && !c.optional {
+			o.missing(name, c.allowed)
+		}
+		return fallback
+	}
+	return o.r.text(o.join(name), n, c)
+}
+
+func (r *reader) text(path string, n *node, c check) string {
+	if n.kind != kindString || !c.valid(n.text) {
+		r.report(path, describe(n), c.allowed)
+		return ""
+	}
+	return n.text
+}
+
+// integer returns a required integer field from low to high.
+func (o object) integer(name string, low, high int) int {
+	allowed := fmt.Sprintf("an integer from %d to %d", low, high)
+	n := o.get(name)
+	if n == nil {
+		o.missing(name, allowed)
+		return 0
+	}
+	v, err := strconv.Atoi(n.text)
+	if n.kind != kindNumber || err != nil || v < low || v > high {
+		o.r.report(o.join(name), describe(n), allowed)
+		return 0
+	}
+	return v
+}
+
+// duration returns an optional duration field from low to high.
+func (o object) duration(name string, fallback, low, high time.Duration) time.Duration {
+	n := o.get(name)
+	if n == nil {
+		return fallback
+	}
+	v, err := time.ParseDuration(n.text)
+	if n.kind != kindString || err != nil || v < low || v > high {
+		o.r.report(o.join(name), describe(n), fmt.Sprintf("a duration with a unit in a string, from %q to %q", low, high))
+		return fallback
+	}
+	return v
+}
+
+// list returns a field with low to high different strings that pass check. Where low is 0, it may be absent.
+func (o object) list(name string, low, high int, c check) []string {
+	path := o.join(name)
+	allowed := fmt.Sprintf("an array of %d to %d strings, each %s", low, high, c.allowed)
+	n := o.get(name)
+	if n == nil {
+		if low > 0 {
+			o.missing(name, allowed)
+		}
+		return nil
+	}
+	if n.kind != kindArray || len(n.items) < low || len(n.items) > high {
+		o.r.report(path, describe(n), allowed)
+		return nil
+	}
+	return o.r.items(path, n, c)
+}
+
+func (r *reader) items(path string, n *node, c check) []string {
+	var out []string
+	for i := range n.items {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		v := r.text(at, &n.items[i], c)
+		switch {
+		case v == "":
+		case slices.Contains(out, v):
+			r.report(at, strconv.Quote(v)+" a second time", "each entry once")
+		default:
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// maxQuoted bounds what a message repeats of a value, in bytes.
+const maxQuoted = 80
+
+func describe(n *node) string {
+	switch n.kind {
+	case kindString:
+		if len(n.text) > maxQuoted {
+			return fmt.Sprintf("a string of %d bytes that begins with %q", len(n.text), n.text[:maxQuoted])
+		}
+		return strconv.Quote(n.text)
+	case kindArray:
+		return fmt.Sprintf("an array of %d values", len(n.items))
+	case kindObject:
+		return "an object"
+	case kindNumber:
+		if len(n.text) > maxQuoted {
+			return fmt.Sprintf("a number of %d digits", len(n.text))
+		}
+		return "the number " + n.text
+	default:
+		return n.text
+	}
+}
+
+// check is a rule for a string.
+type check struct {
+	allowed  string
+	valid    func(string) bool
+	optional bool
+}
+
+var (
+	nameCheck = check{
+		allowed: fmt.Sprintf("a name of 1 to %d letters, digits, '.', '_' and '-', beginning with a letter or digit",
+			MaxNameLength),
+		valid: validName,
+	}
+	addressCheck = check{
+		allowed: "an address that other machines can reach, as ip:port, such as \"192.0.2.1:7001\"",
+		valid:   validAddress,
+	}
+	listenCheck = check{
+		allowed: "an address as ip:port, such as \"127.0.0.1:7003\"",
+		valid:   func(s string) bool { _, ok := parseAddress(s); return ok },
+	}
+	backendCheck = check{
+		allowed: "a URL http://ip:port without a path, on a loopback address, because this hop is not encrypted",
+		valid:   validBackendURL,
+	}
+	platformCheck = check{
+		allowed: "a URL http://ip:port or https://ip:port without a path",
+		valid:   func(s string) bool { u, ok := parseURL(s); return ok && u.Path == "" },
+	}
+	collectorCheck = check{
+		allowed:  "a URL http://ip:port or https://ip:port, with an optional path",
+		valid:    func(s string) bool { _, ok := parseURL(s); return ok },
+		optional: true,
+	}
+	fileCheck = check{
+		allowed: "the name of a PEM file",
+		valid:   func(s string) bool { return s != "" && !strings.ContainsRune(s, 0) },
+	}
+	levelCheck = check{
+		allowed: "one of " + strings.Join(LogLevels, ", "),
+		valid:   func(s string) bool { return slices.Contains(LogLevels, s) },
+	}
+)
+
+func validName(s string) bool {
+	if len(s) == 0 || len(s) > MaxNameLength {
+		return false
+	}
+	for i, b := range []byte(s) {
+		alnum := 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || '0' <= b && b <= '9'
+		if !alnum && (i == 0 || !strings.ContainsRune("._-", rune(b))) {
+			return false
+		}
+	}
+	return true
+}
+
+// parseAddress accepts only the canonical form, so that equal addresses are equal strings everywhere.
+func parseAddress(s string) (netip.AddrPort, bool) {
+	a, err := netip.ParseAddrPort(s)
+	return a, err == nil && a.Port() != 0 && a.Addr().Zone() == "" && a.String() == s
+}
+
+// validAddress rejects unspecified addresses, because the value is announced to other daemons.
+func validAddress(s string) bool {
+	a, ok := parseAddress(s)
+	return ok && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
+}
+
+// parseURL accepts URLs that locate a server by IP address and hold no credentials.
+func parseURL(s string) (*url.URL, bool) {
+	u, err := url.Parse(s)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
+		return nil, false
+	}
+	if u.User != nil || u.RawQuery != "" || u.ForceQuery || u.Fragment != "" || strings.HasSuffix(s, "#") {
+		return nil, false
+	}
+	return u, validAddress(u.Host)
+}
+
+func validBackendURL(s string) bool {
+	u, ok := parseURL(s)
+	if !ok || u.Scheme != "http" || u.Path != "" {
+		return false
+	}
+	return netip.MustParseAddrPort(u.Host).Addr().IsLoopback()
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,106 @@
+package settings
+
+import "time"
+
+// Defaults of optional settings.
+const (
+	// DefaultLogLevel reports state changes and refusals of control operations, but nothing per call.
+	DefaultLogLevel = "info"
+	// DefaultDrainLimit covers the longest default timeout of a call chain several times over and is below the
+	// period after which common service managers kill a process (90 s).
+	DefaultDrainLimit = 30 * time.Second
+)
+
+// Bounds of settings.
+const (
+	// MaxNameLength bounds the names of daemons, services, regions and zones, in bytes. A service name is part of a
+	// token, in which its length takes one byte; 63 is also the limit of a DNS label.
+	MaxNameLength = 63
+	// MaxSlots is far above the slots of any backend server in use (100). It catches a unit mistake.
+	MaxSlots = 100_000
+	// MaxConnections is about the number of local ports towards one loopback address.
+	MaxConnections = 60_000
+	// MaxPlatformURLs bounds the list of platform endpoints.
+	MaxPlatformURLs = 16
+	// MaxPeers bounds the bootstrap list. A few peers suffice, since membership spreads from any of them.
+	MaxPeers = 64
+	// MaxCalls is the largest number of services in one deployment, rounded up from 670.
+	MaxCalls = 1024
+	// MinDrainLimit leaves time for the "leaving" announcement to reach the neighbours.
+	MinDrainLimit = 1 * time.Second
+	// MaxDrainLimit is the longest timeout that a caller can ask for; no in-flight request outlasts it.
+	MaxDrainLimit = 10 * time.Minute
+	// MaxFileSize bounds a settings file, in bytes. The longest valid file stays below 100 KB.
+	MaxFileSize = 1 << 20
+)
+
+// LogLevels are the allowed values of Log.Level.
+var LogLevels = []string{"error", "warn", "info", "debug"}
+
+// Settings is the configuration of one daemon that doesn't change while it runs.
+type Settings struct {
+	// Name identifies the daemon in logs and metrics.
+	Name string
+	// Service is the service that the backend server beside this daemon provides.
+	Service string
+	// Region and Zone are where the daemon runs.
+	Region string
+	Zone   string
+	// PeerAddress is the ip:port on which other daemons reach this one by QUIC.
+	PeerAddress string
+	// CallAddress is the ip:port of the HTTP listener for callers and for the backend server.
+	CallAddress string
+	// AdminAddress is the ip:port of the HTTP listener for metrics, state and drain.
+	AdminAddress string
+	// Backend is the backend server beside the daemon.
+	Backend Backend
+	// TLS names the files for mutual TLS between daemons.
+	TLS TLS
+	// Platform locates the platform's key-value service.
+	Platform Platform
+	// Peers are the peer addresses of other daemons to join through. The daemon's own address may be among them, so
+	// that all daemons of a zone can share one list.
+	Peers []string
+	// Calls are the services that the backend server calls.
+	Calls []string
+	// Telemetry is optional.
+	Telemetry Telemetry
+	Log       Log
+	// DrainLimit bounds a graceful shutdown.
+	DrainLimit time.Duration
+}
+
+// Backend describes the backend server beside the daemon.
+type Backend struct {
+	// URL is the base URL of the backend server on a loopback address, without a path.
+	URL string
+	// Slots is the number of requests that the backend server runs at once.
+	Slots int
+	// Connections is the number of connections that the backend server accepts; at least Slots.
+	Connections int
+}
+
+// TLS names PEM files. Load makes relative names relative to the settings file.
+type TLS struct {
+	Certificate string
+	Key         string
+	// Authority holds the certificates that sign the peers' certificates.
+	Authority string
+}
+
+// Platform locates the platform's key-value service.
+type Platform struct {
+	URLs []string
+}
+
+// Telemetry configures the export of trace spans.
+type Telemetry struct {
+	// OTLPURL is the endpoint of the collector; empty turns the export off.
+	OTLPURL string
+}
+
+// Log configures the log.
+type Log struct {
+	// Level is one of LogLevels.
+	Level string
+}
