Add stand-in backend server

Cause: trials of the daemon need backend servers that drain, start cold, shed load, crash and report misleading health, with a deep call chain, and a way to tell how often each request ran.

Ruled out: counting runs in memory only, because a killed process loses its counts. A run log receives each key before the run begins.

--- /dev/null
+++ b/internal/standin/backend/control.go
@@ -0,0 +1,184 @@
+package backend
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// State is what the health endpoint reports.
+type State string
+
+// The states of a backend server.
+const (
+	StateStarting State = "starting" // within the cold start
+	StateServing  State = "serving"
+	StateDraining State = "draining"
+)
+
+// maxKeys bounds the memory of the run counters, at about 100 bytes a key.
+const maxKeys = 1_000_000
+
+// counters are guarded by the mutex of the Server.
+type counters struct {
+	running, waiting int
+	runs             map[string]int
+
+	PeakRunning  int `json:"peak_running"`
+	Started      int `json:"started"`
+	Finished     int `json:"finished"`
+	Canceled     int `json:"canceled"`
+	Refused      int `json:"refused"`
+	ChildFailed  int `json:"child_failed"`
+	KeysDropped  int `json:"keys_dropped"` // runs that were not counted by key because of maxKeys
+	RunLogErrors int `json:"run_log_errors"`
+}
+
+func newCounters() counters {
+	return counters{runs: make(map[string]int)}
+}
+
+func (c *counters) run() {
+	c.running++
+	c.PeakRunning = max(c.PeakRunning, c.running)
+}
+
+func (c *counters) count(key string) {
+	if key == "" {
+		return
+	}
+	if _, ok := c.runs[key]; !ok && len(c.runs) >= maxKeys {
+		c.KeysDropped++
+		return
+	}
+	c.runs[key]++
+}
+
+// lagging reports a value that is one to two periods of lag old. Without lag it reports the current value.
+type lagging[T any] struct {
+	lag      time.Duration
+	reported T
+	next     T
+	rolled   time.Time
+}
+
+// read returns the reported value, given the current one.
+func (l *lagging[T]) read(now time.Time, current T) T {
+	if l.lag == 0 {
+		return current
+	}
+	if l.rolled.IsZero() {
+		l.reported, l.next, l.rolled = current, current, now
+	}
+	if now.Sub(l.rolled) >= l.lag {
+		l.reported, l.next, l.rolled = l.next, current, now
+	}
+	return l.reported
+}
+
+// loadReport is the body of the load endpoint.
+type loadReport struct {
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	Slots   int `json:"slots"`
+}
+
+// statsReport is the body of the stats endpoint.
+type statsReport struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	State   State  `json:"state"`
+	Running int    `json:"running"`
+	Waiting int    `json:"waiting"`
+	counters
+	Runs map[string]int `json:"runs"`
+}
+
+func (s *Server) controlRoutes() {
+	s.mux.HandleFunc("GET /_health", s.serveHealth)
+	s.mux.HandleFunc("GET /_load", s.serveLoad)
+	s.mux.HandleFunc("GET /_stats", s.serveStats)
+	s.mux.HandleFunc("POST /_drain", s.serveDrain)
+	s.mux.HandleFunc("POST /_slow", s.serveSlow)
+}
+
+// state needs the mutex.
+func (s *Server) state(now time.Time) State {
+	switch {
+	case s.draining:
+		return StateDraining
+	case now.Sub(s.started) < time.Duration(s.cfg.ColdStart.Duration):
+		return StateStarting
+	default:
+		return StateServing
+	}
+}
+
+func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	s.mu.Lock()
+	state := s.health.read(now, s.state(now))
+	s.mu.Unlock()
+	if s.cfg.Health.Fixed != "" {
+		state = State(s.cfg.Health.Fixed)
+	}
+	status := http.StatusOK
+	if state != StateServing {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, map[string]State{"state": state})
+}
+
+func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	current := loadReport{Running: s.counters.running, Waiting: s.counters.waiting, Slots: s.cfg.Slots}
+	report := s.load.read(time.Now(), current)
+	s.mu.Unlock()
+	if s.cfg.Load.Fixed != nil {
+		report.Running = *s.cfg.Load.Fixed
+	}
+	writeJSON(w, http.StatusOK, report)
+}
+
+func (s *Server) serveStats(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, s.stats(r.URL.Query().Get("key")))
+}
+
+// stats returns a copy of the counters, with the runs of all keys when key is empty.
+func (s *Server) stats(key string) statsReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	report := statsReport{
+		Name: s.cfg.Name, Service: s.cfg.Service, State: s.state(time.Now()),
+		Running: s.counters.running, Waiting: s.counters.waiting,
+		counters: s.counters, Runs: make(map[string]int),
+	}
+	for k, n := range s.counters.runs {
+		if key == "" || k == key {
+			report.Runs[k] = n
+		}
+	}
+	return report
+}
+
+func (s *Server) serveDrain(w http.ResponseWriter, _ *http.Request) {
+	s.Drain()
+	writeJSON(w, http.StatusOK, map[string]State{"state": StateDraining})
+}
+
+func (s *Server) serveSlow(w http.ResponseWriter, r *http.Request) {
+	factor, err := strconv.ParseFloat(r.URL.Query().Get("factor"), 64)
+	if err != nil || !(factor >= 0 && factor <= 1000) {
+		writeError(w, http.StatusBadRequest, failure{Code: "factor", Message: "factor must be a number from 0 to 1000"})
+		return
+	}
+	s.Slow(factor)
+	writeJSON(w, http.StatusOK, map[string]float64{"factor": factor})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // a caller that has gone away needs no body
+}
