Add stand-in load generator and guavapoint-standin

Cause: trials need callers that follow the published HTTP interface and a check that compares what they were told with what ran.

Ruled out: a closed loop of workers, because it slows down with the system and hides overload. Requests start at fixed times; those beyond a bound on requests in flight are skipped and counted.

Change: package load sends a weighted mix, spends tokens, keeps a token while an attempt with it may still run, reports outcomes by class with latency percentiles, and verifies records against the run logs of backend servers. Run log lines are "METHOD key".

--- /dev/null
+++ b/cmd/guavapoint-standin/backend.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"guavapoint.example/guavapoint/internal/standin/backend"
+)
+
+// Timeouts of the HTTP server. They free connections of peers that went silent and are far above any request in a trial.
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+)
+
+func backendCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "backend",
+		Usage: "run a stand-in backend server until SIGTERM, then drain it",
+		Description: "Flags override the configuration file. Example:\n\n" +
+			"guavapoint-standin backend --config examples/registry/backends/lookup.json \\\n" +
+			"  --name lookup-1 --listen 127.0.0.1:21012 --daemon 127.0.0.1:21011\n\n" +
+			"The process exits with code 3 when a request crashes it.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Required: true, Usage: "loopback `IP:PORT` to listen on"},
+			&cli.StringFlag{Name: "config", Usage: "JSON configuration `FILE`"},
+			&cli.StringFlag{Name: "name", Usage: "`NAME` of this server"},
+			&cli.StringFlag{Name: "service", Usage: "`NAME` of the service"},
+			&cli.StringFlag{Name: "daemon", Usage: "call address `IP:PORT` of the daemon for child calls"},
+			&cli.IntFlag{Name: "slots", Usage: "requests that run at once"},
+			&cli.IntFlag{Name: "waiting", Usage: "requests that wait for a slot before others are answered 503"},
+			&cli.IntFlag{Name: "connections", Usage: "connections at once, 0 for no limit"},
+			&cli.DurationFlag{Name: "service-time", Usage: "`TIME` that a request takes without its child calls"},
+			&cli.StringFlag{Name: "run-log", Usage: "`FILE` to which the key of each run is appended"},
+			&cli.DurationFlag{Name: "drain-limit", Value: 30 * time.Second, Usage: "longest `TIME` for draining"},
+		},
+		Action: runBackend,
+	}
+}
+
+func runBackend(ctx context.Context, cmd *cli.Command) error {
+	if err := noArgs(cmd); err != nil {
+		return err
+	}
+	cfg, err := backendConfig(cmd)
+	if err != nil {
+		return err
+	}
+	options := backend.Options{Crash: func() { os.Exit(exitCrash) }}
+	if name := cmd.String("run-log"); name != "" {
+		log, err := os.OpenFile(name, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+		if err != nil {
+			return usagef("run log: %w", err)
+		}
+		defer log.Close()
+		options.RunLog = log
+	}
+	server, err := backend.New(cfg, options)
+	if err != nil {
+		return usagef("backend configuration: %w", err)
+	}
+	listener, err := listenLoopback(cmd.String("listen"))
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(cmd.Root().Writer, "%s (%s) listens on %s\n", cfg.Name, cfg.Service, listener.Addr())
+	return serveBackend(ctx, server, backend.Limit(listener, cfg.Connections), cmd.Duration("drain-limit"))
+}
+
+// backendConfig reads the configuration file, if any, and applies the flags that are set.
+func backendConfig(cmd *cli.Command) (backend.Config, error) {
+	cfg := backend.Config{Slots: 1}
+	if name := cmd.String("config"); name != "" {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return cfg, usagef("backend configuration: %w", err)
+		}
+		if cfg, err = backend.ParseConfig(data); err != nil {
+			return cfg, usagef("%s: %w", name, err)
+		}
+	}
+	for name, field := range map[string]*string{"name": &cfg.Name, "service": &cfg.Service, "daemon": &cfg.Daemon} {
+		if cmd.IsSet(name) {
+			*field = cmd.String(name)
+		}
+	}
+	numbers := map[string]*int{"slots": &cfg.Slots, "waiting": &cfg.Waiting, "connections": &cfg.Connections}
+	for name, field := range numbers {
+		if cmd.IsSet(name) {
+			*field = cmd.Int(name)
+		}
+	}
+	if cmd.IsSet("service-time") {
+		cfg.ServiceTime = backend.Duration(cmd.Duration("service-time"))
+	}
+	return cfg, nil
+}
+
+// listenLoopback refuses other addresses, because anyone who reaches a stand-in can crash it.
+func listenLoopback(address string) (net.Listener, error) {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil || !a.Addr().IsLoopback() {
+		return nil, usagef("--listen is %q, allowed is ip:port on a loopback address", address)
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("can't listen: %w", err)
+	}
+	return l, nil
+}
+
+func serveBackend(ctx context.Context, server *backend.Server, l net.Listener, drainLimit time.Duration) error {
+	h := &http.Server{Handler: server, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- h.Serve(l) }()
+	select {
+	case err := <-failed:
+		return fmt.Errorf("can't serve: %w", err)
+	case <-ctx.Done():
+	}
+	server.Drain()
+	limit, cancel := context.WithTimeout(context.Background(), drainLimit)
+	defer cancel()
+	if err := h.Shutdown(limit); err != nil {
+		return errors.Join(fmt.Errorf("draining ended after %v with requests in flight", drainLimit), h.Close())
+	}
+	return nil
+}
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -33,7 +33,7 @@
 type Options struct {
 	// Crash ends the process. Without it, a crash request is answered 500.
 	Crash func()
-	// RunLog receives one line with the key for each run before the run begins, so that runs are known even when the
+	// RunLog receives one line "METHOD key" for each run before the run begins, so that runs are known even when the
 	// process is killed. Writes are serialised.
 	RunLog io.Writer
 	// Client makes the child calls.
@@ -205,7 +205,7 @@
 
 func (s *Server) run(w http.ResponseWriter, r *http.Request, route Route) {
 	key := r.Header.Get(HeaderKey)
-	s.recordRun(key)
+	s.recordRun(r.Method, key)
 	if s.crashes(r) {
 		s.crash(w)
 		return
@@ -242,13 +242,13 @@
 	return key + "/" + strconv.Itoa(i)
 }
 
-func (s *Server) recordRun(key string) {
+func (s *Server) recordRun(method, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counters.Started++
 	s.counters.count(key)
 	if s.options.RunLog != nil && key != "" {
-		if _, err := io.WriteString(s.options.RunLog, key+"\n"); err != nil {
+		if _, err := io.WriteString(s.options.RunLog, method+" "+key+"\n"); err != nil {
 			s.counters.RunLogErrors++
 		}
 	}
--- a/internal/standin/backend/server_test.go
+++ b/internal/standin/backend/server_test.go
@@ -141,7 +141,7 @@
 	crashed := ""
 	s := newServer(t, Config{CrashPath: "/crash/"}, Options{RunLog: &log, Crash: func() { crashed = log.String() }})
 	serve(s, "GET", "/crash/1", "k1", "")
-	if crashed != "k1\n" {
+	if crashed != "GET k1\n" {
 		t.Errorf("log at the crash %q", crashed)
 	}
 }
--- /dev/null
+++ b/internal/standin/load/load_test.go
@@ -0,0 +1,198 @@
+package load
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// fakeEntry plays an entry daemon. Each handler serves one request; the last one serves the rest.
+type fakeEntry struct {
+	mu       sync.Mutex
+	requests []*http.Request
+	handlers []http.HandlerFunc
+}
+
+func (e *fakeEntry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	h := e.handlers[min(len(e.requests), len(e.handlers)-1)]
+	e.requests = append(e.requests, r)
+	e.mu.Unlock()
+	h(w, r)
+}
+
+func reply(status int, outcome, reason, token string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		sum := sha256.Sum256(body)
+		w.Header().Set(headerOutcome, outcome)
+		w.Header().Set(headerReason, reason)
+		if token != "" {
+			w.Header().Set(headerToken, token)
+		}
+		w.WriteHeader(status)
+		fmt.Fprintf(w, `{"key":%q,"sha256":%q}`, r.Header.Get(headerKey), hex.EncodeToString(sum[:]))
+	}
+}
+
+func dropConnection(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func runOne(t *testing.T, resends int, op Operation, handlers ...http.HandlerFunc) (Result, *fakeEntry) {
+	t.Helper()
+	e := &fakeEntry{handlers: handlers}
+	srv := httptest.NewServer(e)
+	defer srv.Close()
+	op.Name, op.Class, op.Service, op.Path, op.Weight = "op", "critical", "holdership", "/x/{n}", 1
+	var record bytes.Buffer
+	_, err := Run(t.Context(), Options{
+		Entries: []string{strings.TrimPrefix(srv.URL, "http://")}, Mix: []Operation{op}, Rate: 1000, Count: 1,
+		MaxInFlight: 1, Timeout: 5 * time.Second, Resends: resends, KeyPrefix: "k", Record: &record,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	results, err := ReadRecord(&record)
+	if err != nil || len(results) != 1 {
+		t.Fatalf("%d results, %v", len(results), err)
+	}
+	return results[0], e
+}
+
+func (e *fakeEntry) tokens() []string {
+	var out []string
+	for _, r := range e.requests {
+		out = append(out, r.Header.Get(headerToken))
+	}
+	return out
+}
+
+// Guards against a caller that spends a second token while the first may still run, and against one that reports
+// "not run" without proof.
+func TestTokensAndDoubt(t *testing.T) {
+	ask := func(token string) http.HandlerFunc { return reply(428, "not-run", "token-required", token) }
+	lost := reply(504, "unknown", "connection-lost", "")
+	shed := reply(503, "not-run", "overload", "")
+	ok := reply(200, "answered", "", "")
+	cases := []struct {
+		name     string
+		handlers []http.HandlerFunc
+		tokens   string
+		outcome  string
+	}{
+		{"token is spent", []http.HandlerFunc{ask("a"), ok}, " a", "answered"},
+		{"unknown keeps the token", []http.HandlerFunc{ask("a"), lost, ok}, " a a", "answered"},
+		{"a lost connection keeps the token", []http.HandlerFunc{ask("a"), dropConnection, ok}, " a a", "answered"},
+		{"no other token while in doubt", []http.HandlerFunc{ask("a"), lost, ask("b")}, " a a a", "unknown"},
+		{"not run takes a new token", []http.HandlerFunc{ask("a"), shed, ask("b"), ok}, " a  b", "answered"},
+		{"not run after unknown stays unknown", []http.HandlerFunc{ask("a"), lost, shed}, " a a a", "unknown"},
+		{"a refused token ends the doubt", []http.HandlerFunc{
+			ask("a"), lost, reply(503, "not-run", "token-refused", ""), ask("b"), ok,
+		}, " a a  b", "answered"},
+	}
+	for _, c := range cases {
+		res, e := runOne(t, 2, Operation{Method: "POST"}, c.handlers...)
+		if got := strings.Join(e.tokens(), " "); got != c.tokens || res.Outcome != c.outcome {
+			t.Errorf("%s: tokens %q, outcome %s (%s)", c.name, got, res.Outcome, res.Reason)
+		}
+	}
+}
+
+// Guards against an answer to another request, or a wrong hash, that counts as a success.
+func TestWrongAnswers(t *testing.T) {
+	op := Operation{Method: "PUT", BodyBytes: 1000, Upload: true, Idempotent: true}
+	if res, _ := runOne(t, 0, op, reply(200, "answered", "", "")); !res.Succeeded() {
+		t.Errorf("correct answer: %+v", res)
+	}
+	for _, body := range []string{`{"key":"other"}`, `{"key":"k0","sha256":"00"}`, `{"key":"k0"`} {
+		res, _ := runOne(t, 0, op, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerOutcome, "answered")
+			_, _ = io.WriteString(w, body)
+		})
+		if res.Succeeded() || res.Wrong == "" {
+			t.Errorf("%s: %+v", body, res)
+		}
+	}
+	if res, _ := runOne(t, 0, op, dropConnection); res.Outcome != OutcomeUnknown || res.Reason != ReasonEntryLost {
+		t.Errorf("lost connection: %+v", res)
+	}
+}
+
+// Guards against a report that loses requests or miscounts a class.
+func TestReport(t *testing.T) {
+	r := newReport()
+	for i := range 100 {
+		r.add(Result{Class: "low", Outcome: "answered", Status: 200, Latency: time.Duration(100 - i)})
+	}
+	r.add(Result{Class: "critical", Outcome: "not-run", Reason: "overload", Status: 503, Attempts: 2})
+	r.add(Result{Class: "critical", Outcome: "answered", Status: 502})
+	r.add(Result{Class: "critical", Outcome: "unknown", Reason: "timeout"})
+	r.add(Result{Class: "critical", Outcome: "answered", Status: 200, Wrong: "hash"})
+	r.finish(time.Second)
+	c, low := r.Classes[0], r.Classes[1]
+	if c.Class != "critical" || c.Sent != 4 || c.NotRun != 1 || c.Failed != 1 || c.Unknown != 1 || c.Wrong != 1 {
+		t.Errorf("critical %+v", c)
+	}
+	if low.Succeeded != 100 || low.Latency != (Percentiles{P50: 50, P90: 90, P99: 99, Max: 100}) {
+		t.Errorf("low %+v", low)
+	}
+	var table bytes.Buffer
+	if err := r.WriteTable(&table); err != nil || !strings.Contains(table.String(), "not-run/overload 1, status/502 1") {
+		t.Errorf("%v in table\n%s", err, &table)
+	}
+	if _, err := json.Marshal(r); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a run that ignores its bounds.
+func TestRunBounds(t *testing.T) {
+	if _, err := Run(t.Context(), Options{Rate: MaxRate + 1, Resends: -1}); err == nil ||
+		!strings.Contains(err.Error(), "rate") || !strings.Contains(err.Error(), "resends") {
+		t.Errorf("got %v", err)
+	}
+	if _, err := ParseMix([]byte(`[{"name":"a","class":"urgent","weight":0}]`)); err == nil ||
+		!strings.Contains(err.Error(), "mix[0].class is urgent") || !strings.Contains(err.Error(), "weight") {
+		t.Errorf("got %v", err)
+	}
+}
+
+// Guards against a verifier that misses a broken promise or reports a kept one.
+func TestVerify(t *testing.T) {
+	log := "POST a\nPOST a/0\nPOST b\nPOST b\nPOST c\nPOST d\nPOST d/0\nPOST d/0\nGET e\nGET e\nGET e/0\nGET e/0\nPOST g\n"
+	runs := make(Runs)
+	if err := runs.Read(strings.NewReader(log)); err != nil {
+		t.Fatal(err)
+	}
+	results := []Result{
+		{Key: "a", Outcome: "answered", Status: 200},
+		{Key: "b", Outcome: "answered", Status: 200},
+		{Key: "c", Outcome: "not-run", Reason: "overload"},
+		{Key: "d", Outcome: "unknown"},
+		{Key: "e", Outcome: "answered", Status: 200, Idempotent: true},
+		{Key: "f", Outcome: "answered", Status: 200},
+		{Key: "g", Outcome: "unknown"},
+		{Key: "h", Outcome: "unknown"},
+		{Key: "i", Outcome: "not-run"},
+	}
+	v := Verify(results, runs)
+	var bad []string
+	for _, text := range v.Violations {
+		bad = append(bad, text[:1])
+	}
+	if !slices.Equal(bad, []string{"b", "c", "d", "f"}) || v.Requests != 9 || v.Runs != 13 {
+		t.Errorf("%d requests, %d runs, violations %q", v.Requests, v.Runs, v.Violations)
+	}
+	if v.UnknownRun != 2 || v.UnknownNotRun != 1 {
+		t.Errorf("unknown: %d ran, %d didn't", v.UnknownRun, v.UnknownNotRun)
+	}
+}
--- /dev/null
+++ b/internal/standin/load/verify.go
@@ -0,0 +1,115 @@
+package load
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// Verdict compares what callers were told with what ran.
+type Verdict struct {
+	Requests int `json:"requests"`
+	Runs     int `json:"runs"`
+	// UnknownRun and UnknownNotRun split the requests with the outcome "unknown".
+	UnknownRun    int `json:"unknown_run"`
+	UnknownNotRun int `json:"unknown_not_run"`
+	// Violations describes each broken promise.
+	Violations []string `json:"violations"`
+}
+
+// ReadRecord reads the JSON lines that Run wrote.
+func ReadRecord(r io.Reader) ([]Result, error) {
+	dec := json.NewDecoder(r)
+	var results []Result
+	for {
+		var res Result
+		err := dec.Decode(&res)
+		if errors.Is(err, io.EOF) {
+			return results, nil
+		}
+		if err != nil {
+			return nil, fmt.Errorf("malformed record after %d results: %w", len(results), err)
+		}
+		results = append(results, res)
+	}
+}
+
+// Runs counts the runs in the run logs of backend servers, by "METHOD key".
+type Runs map[string]int
+
+// Read adds the runs of one log. An incomplete last line, left by a killed process, counts as a run.
+func (n Runs) Read(r io.Reader) error {
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		n[lines.Text()]++
+	}
+	return lines.Err()
+}
+
+// byRoot maps the key of each root request to the "METHOD key" entries of the request and its child calls.
+func (n Runs) byRoot() map[string][]string {
+	roots := make(map[string][]string)
+	for entry := range n {
+		_, key, _ := strings.Cut(entry, " ")
+		root, _, _ := strings.Cut(key, "/")
+		roots[root] = append(roots[root], entry)
+	}
+	return roots
+}
+
+// Verify checks that no request that was told "not run" ran, that each successful answer has a run, and that
+// non-idempotent requests and their child calls by POST ran at most once. Keys are unique across the results.
+func Verify(results []Result, runs Runs) Verdict {
+	v := Verdict{Requests: len(results), Violations: []string{}}
+	for _, n := range runs {
+		v.Runs += n
+	}
+	roots := runs.byRoot()
+	for _, res := range results {
+		v.check(res, roots[res.Key], runs)
+	}
+	return v
+}
+
+func (v *Verdict) check(res Result, entries []string, runs Runs) {
+	own := 0
+	for _, entry := range entries {
+		method, key, _ := strings.Cut(entry, " ")
+		if key == res.Key {
+			own += runs[entry]
+		}
+		if !res.Idempotent && runs[entry] > 1 && (key == res.Key || method == http.MethodPost) {
+			v.violate("%s: %q ran %d times, although it is not idempotent", res.Key, entry, runs[entry])
+		}
+	}
+	switch {
+	case res.Wrong != "":
+		v.violate("%s: %s", res.Key, res.Wrong)
+	case res.Outcome == OutcomeNotRun && own > 0:
+		v.violate("%s: told not-run (%s), but ran %d times", res.Key, res.Reason, own)
+	case res.Succeeded() && own == 0:
+		v.violate("%s: told answered, but didn't run", res.Key)
+	case res.Outcome == OutcomeUnknown && own > 0:
+		v.UnknownRun++
+	case res.Outcome == OutcomeUnknown:
+		v.UnknownNotRun++
+	}
+}
+
+func (v *Verdict) violate(format string, args ...any) {
+	v.Violations = append(v.Violations, fmt.Sprintf(format, args...))
+}
+
+// WriteTable prints the verdict for people.
+func (v Verdict) WriteTable(w io.Writer) error {
+	for _, text := range v.Violations {
+		fmt.Fprintf(w, "broken promise: %s\n", text)
+	}
+	_, err := fmt.Fprintf(w, "%d requests, %d runs, %d broken promises; of the unknown outcomes %d ran and %d did not\n",
+		v.Requests, v.Runs, len(v.Violations), v.UnknownRun, v.UnknownNotRun)
+	return err
+}
