--- /dev/null
+++ b/internal/core/retry/ratio.go
@@ -0,0 +1,84 @@
+package retry
+
+import "time"
+
+// ratioBuckets divides the window, so that old attempts leave it in steps of a tenth.
+const ratioBuckets = 10
+
+// Defaults of a RatioConfig.
+const (
+	// DefaultRatio is the share of the preset "ordinary" in the design.
+	DefaultRatio = 0.1
+	// DefaultWindow is long enough to hold some first attempts of a service with a few calls per second.
+	DefaultWindow = 10 * time.Second
+)
+
+// RatioConfig holds the parameters of a Ratio.
+type RatioConfig struct {
+	// Ratio is the share of the recent first attempts that retries stay below. Zero allows no retries.
+	Ratio float64
+	// Window is how long an attempt counts as recent. Zero means DefaultWindow.
+	Window time.Duration
+}
+
+// Ratio keeps the retries to one service below a share of the recent first attempts. It is not safe for concurrent use.
+type Ratio struct {
+	cfg     RatioConfig
+	width   time.Duration
+	current int64 // number of the newest bucket since the Unix epoch
+	buckets [ratioBuckets]attempts
+	total   attempts
+}
+
+type attempts struct {
+	first, retries int
+}
+
+// NewRatio returns a Ratio without attempts.
+func NewRatio(cfg RatioConfig) *Ratio {
+	if cfg.Window <= 0 {
+		cfg.Window = DefaultWindow
+	}
+	return &Ratio{cfg: cfg, width: max(cfg.Window/ratioBuckets, 1)}
+}
+
+// First records a first attempt.
+func (r *Ratio) First(now time.Time) {
+	b := r.advance(now)
+	b.first++
+	r.total.first++
+}
+
+// Allow reports whether one more retry keeps retries below the share, and records the retry if it does.
+func (r *Ratio) Allow(now time.Time) bool {
+	b := r.advance(now)
+	if float64(r.total.retries+1) >= r.cfg.Ratio*float64(r.total.first) {
+		return false
+	}
+	b.retries++
+	r.total.retries++
+	return true
+}
+
+// SetRatio changes the share and keeps the recorded attempts.
+func (r *Ratio) SetRatio(ratio float64) {
+	r.cfg.Ratio = ratio
+}
+
+// advance drops the buckets that have left the window and returns the newest one. A clock that steps back adds to the
+// newest bucket.
+func (r *Ratio) advance(now time.Time) *attempts {
+	n := now.UnixNano() / int64(r.width)
+	steps := n - r.current
+	for i := int64(1); i <= min(steps, ratioBuckets); i++ {
+		r.drop(&r.buckets[(r.current+i)%ratioBuckets])
+	}
+	r.current = max(n, r.current)
+	return &r.buckets[r.current%ratioBuckets]
+}
+
+func (r *Ratio) drop(b *attempts) {
+	r.total.first -= b.first
+	r.total.retries -= b.retries
+	*b = attempts{}
+}
--- /dev/null
+++ b/internal/core/routing/link.go
@@ -0,0 +1,139 @@
+package routing
+
+import (
+	"sync"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+)
+
+// DefaultUploadShare is the largest part of the budget that uploads may use.
+const DefaultUploadShare = 0.5
+
+// linkBurst is how much of the budget can be saved up. It covers one round trip between regions (60 ms) twice and keeps
+// the queue on the link short.
+const linkBurst = 125 * time.Millisecond
+
+// classReserve is the part of the burst that a class leaves to the more important ones. A class draws on the budget
+// only while more than its part is left.
+var classReserve = [call.NumClasses]float64{
+	call.ClassLow:      0.6,
+	call.ClassNormal:   0.4,
+	call.ClassHigh:     0.2,
+	call.ClassCritical: 0,
+}
+
+// LinkConfig holds the parameters of a Link.
+type LinkConfig struct {
+	// BytesPerSecond is the daemon's budget, requests and responses together.
+	BytesPerSecond int64
+	// UploadShare is the part of the budget that uploads may use, 0 to 1.
+	UploadShare float64
+}
+
+// Link is a daemon's byte budget on the region link. It is safe for concurrent use, so that the pickers of a daemon can
+// share it.
+//
+// A call is charged for its request and for a response of average size when it is sent. When it ends, the actual size
+// of the response replaces the average; the balance can become negative and then blocks calls until it has recovered.
+//
+// An upload is charged as a debt that is repaid from the upload share alone. No further upload is sent until the debt is
+// repaid, and small calls keep the rest of the budget even while a large upload is under way.
+type Link struct {
+	mu      sync.Mutex
+	rate    float64 // bytes per second
+	share   float64 // part of rate that repays uploads
+	balance float64 // bytes
+	debt    float64 // bytes of uploads that are not repaid
+	last    time.Time
+
+	// reserved bytes were charged for the responses of the calls under way.
+	reserved float64
+	calls    int
+	response float64 // moving average in bytes
+}
+
+// NewLink returns a Link with its full burst.
+func NewLink(cfg LinkConfig) *Link {
+	l := &Link{}
+	l.configure(cfg)
+	l.balance = l.burst()
+	return l
+}
+
+// SetConfig changes the budget. The balance is kept up to the new burst.
+func (l *Link) SetConfig(now time.Time, cfg LinkConfig) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refill(now)
+	l.configure(cfg)
+	l.balance = min(l.balance, l.burst())
+}
+
+func (l *Link) configure(cfg LinkConfig) {
+	l.rate = float64(max(cfg.BytesPerSecond, 0))
+	l.share = min(max(cfg.UploadShare, 0), 1)
+}
+
+// take charges the budget for a call and reports whether there was room.
+func (l *Link) take(now time.Time, q Query) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refill(now)
+	if !l.room(q) {
+		return false
+	}
+	if q.Upload {
+		l.debt += float64(q.Bytes)
+	} else {
+		l.balance -= float64(q.Bytes)
+	}
+	l.balance -= l.response
+	l.reserved += l.response
+	l.calls++
+	return true
+}
+
+// room reports whether the class may draw on the budget. A call larger than what the burst leaves to its class is sent
+// when the balance is full, as it could never be sent otherwise; the balance becomes negative and is repaid.
+func (l *Link) room(q Query) bool {
+	if l.rate == 0 || (q.Upload && (l.debt > 0 || l.share == 0)) {
+		return false
+	}
+	need := classReserve[min(q.Rank.Class(), call.ClassCritical)]*l.burst() + l.response
+	if !q.Upload {
+		need += float64(q.Bytes)
+	}
+	return l.balance >= min(need, l.burst())
+}
+
+// settle replaces the average response by the actual one.
+func (l *Link) settle(now time.Time, bytes int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refill(now)
+	if l.calls > 0 {
+		part := l.reserved / float64(l.calls)
+		l.reserved -= part
+		l.calls--
+		l.balance += part
+	}
+	l.balance -= float64(bytes)
+	l.response = average(l.response, float64(bytes))
+}
+
+// refill adds the budget of the elapsed time, first to the debt of uploads up to their share, then to the balance.
+func (l *Link) refill(now time.Time) {
+	if l.last.IsZero() || now.Before(l.last) {
+		l.last = now
+	}
+	budget := l.rate * now.Sub(l.last).Seconds()
+	l.last = now
+	repaid := min(l.debt, budget*l.share)
+	l.debt -= repaid
+	l.balance = min(l.balance+budget-repaid, l.burst())
+}
+
+func (l *Link) burst() float64 {
+	return l.rate * linkBurst.Seconds()
+}
--- /dev/null
+++ b/internal/core/routing/picker.go
@@ -0,0 +1,228 @@
+package routing
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+)
+
+// Errors of Pick. Each proves that the call was not sent.
+var (
+	// ErrNoUpstream reports that no upstream is known, or that all are excluded or leaving.
+	ErrNoUpstream = errors.New("no upstream available")
+	// ErrBelowCutoff reports that the rank is below the cutoff of all upstreams that could be chosen.
+	ErrBelowCutoff = errors.New("rank below the cutoff of all upstreams")
+	// ErrLinkBudget reports that only other regions can serve and that the byte budget has no room.
+	ErrLinkBudget = errors.New("byte budget of the region link exhausted")
+)
+
+// Defaults and fixed times.
+const (
+	// DefaultRamp is the time in which a cold upstream comes to its full share of calls.
+	DefaultRamp = 10 * time.Second
+	// HintTTL bounds the validity of a cutoff hint.
+	HintTTL = time.Second
+	// ProbeShare is the part of the requests below the cutoff that is sent anyway, so that the cutoff can fall.
+	ProbeShare = 0.02
+	// leavingTTL is how long an upstream that answered "leaving" is left out. Membership removes it before that, or the
+	// restarted daemon announces a new incarnation.
+	leavingTTL = 5 * time.Second
+)
+
+// Config holds the parameters of a Picker.
+type Config struct {
+	// Zone and Region are those of the calling daemon.
+	Zone, Region string
+	// Ramp is the duration of the cold-start ramp. Zero means DefaultRamp.
+	Ramp time.Duration
+	// Link is the daemon's budget on the region link, shared by its pickers. Nil means no limit.
+	Link *Link
+}
+
+// Candidate is an upstream as membership knows it.
+type Candidate struct {
+	Address      string
+	Incarnation  call.Incarnation
+	Zone, Region string
+	Slots        int
+	ServingSince time.Time
+}
+
+// Query describes the call that needs an upstream.
+type Query struct {
+	Rank call.Rank
+	// Bytes is the size of the request in bytes.
+	Bytes int64
+	// Upload marks an operation whose request body is large. Uploads are limited to their share of the link.
+	Upload bool
+	// Exclude holds addresses that have refused this request already.
+	Exclude []string
+}
+
+// Result is how a call ended.
+type Result struct {
+	Latency time.Duration
+	Outcome call.Outcome
+	Reason  call.Reason
+	// Cutoff is the upstream's cutoff rank, from the response.
+	Cutoff call.Rank
+	// Bytes is the size of the response in bytes.
+	Bytes int64
+}
+
+// Picker chooses among the upstreams of one service.
+type Picker struct {
+	cfg       Config
+	rng       *rand.Rand
+	upstreams []*upstream
+	byAddress map[string]*upstream
+	latency   float64 // moving average over all upstreams, in seconds
+}
+
+// NewPicker returns a picker without upstreams.
+func NewPicker(cfg Config, rng *rand.Rand) *Picker {
+	if cfg.Ramp <= 0 {
+		cfg.Ramp = DefaultRamp
+	}
+	return &Picker{cfg: cfg, rng: rng, byAddress: make(map[string]*upstream)}
+}
+
+// Update replaces the list of upstreams. What is known about an upstream is kept while its incarnation stays the same.
+func (p *Picker) Update(now time.Time, cs []Candidate) {
+	known := p.byAddress
+	p.byAddress = make(map[string]*upstream, len(cs))
+	p.upstreams = make([]*upstream, 0, len(cs))
+	for _, c := range cs {
+		if p.byAddress[c.Address] != nil {
+			continue
+		}
+		u := known[c.Address]
+		if u == nil || u.Incarnation != c.Incarnation {
+			u = &upstream{}
+		}
+		u.Candidate = c
+		u.tier = p.tierOf(c)
+		p.byAddress[c.Address] = u
+		p.upstreams = append(p.upstreams, u)
+	}
+	p.boundEjections(now)
+}
+
+func (p *Picker) tierOf(c Candidate) tier {
+	switch {
+	case c.Region != p.cfg.Region:
+		return tierRemote
+	case c.Zone != p.cfg.Zone:
+		return tierRegion
+	default:
+		return tierZone
+	}
+}
+
+// Pick chooses an upstream and counts the call as in flight there until Done.
+func (p *Picker) Pick(now time.Time, q Query) (Candidate, error) {
+	choices, present := p.choose(now, q)
+	if !present {
+		return Candidate{}, ErrNoUpstream
+	}
+	u := choices.nearest()
+	if u == nil {
+		if u = p.probe(now, q); u == nil {
+			return Candidate{}, ErrBelowCutoff
+		}
+	}
+	if u.tier == tierRemote && !p.cross(now, u, q) {
+		return Candidate{}, ErrLinkBudget
+	}
+	u.inFlight++
+	return u.Candidate, nil
+}
+
+// PickAddress does what Pick does for a call that is bound to one upstream: it applies the cutoff and the byte budget
+// and counts the call.
+func (p *Picker) PickAddress(now time.Time, address string, q Query) (Candidate, error) {
+	u := p.byAddress[address]
+	if u == nil {
+		return Candidate{}, ErrNoUpstream
+	}
+	if u.refuses(now, q.Rank) && p.rng.Float64() >= ProbeShare {
+		return Candidate{}, ErrBelowCutoff
+	}
+	if u.tier == tierRemote && !p.cross(now, u, q) {
+		return Candidate{}, ErrLinkBudget
+	}
+	u.inFlight++
+	return u.Candidate, nil
+}
+
+// Done reports the end of a call that Pick has assigned to the address.
+func (p *Picker) Done(now time.Time, address string, r Result) {
+	u := p.byAddress[address]
+	if u == nil {
+		return
+	}
+	u.inFlight = max(u.inFlight-1, 0)
+	if u.tier == tierRemote && p.cfg.Link != nil {
+		p.cfg.Link.settle(now, r.Bytes)
+	}
+	u.recordHint(now, r)
+	if r.Outcome == call.OutcomeNotRun && r.Reason == call.ReasonLeaving {
+		u.leavingUntil = now.Add(leavingTTL)
+	}
+	if r.Outcome == call.OutcomeAnswered {
+		u.recordLatency(now, r.Latency)
+		p.latency = average(p.latency, r.Latency.Seconds())
+	}
+	u.recordHealth(now, r)
+	if u.failing() && p.mayEject(now) {
+		u.eject(now)
+	}
+}
+
+// choose collects the best upstream of each tier that takes the rank. It reports whether any upstream could be chosen if
+// there were no cutoffs.
+func (p *Picker) choose(now time.Time, q Query) (choices, bool) {
+	var cs choices
+	present := false
+	for _, u := range p.upstreams {
+		if !u.usable(now, q.Exclude) {
+			continue
+		}
+		present = true
+		if u.refuses(now, q.Rank) {
+			continue
+		}
+		cs.add(u, p.score(now, u), p.rng)
+	}
+	return cs, present
+}
+
+// probe chooses the nearest upstream without regard to cutoffs, for ProbeShare of the calls.
+func (p *Picker) probe(now time.Time, q Query) *upstream {
+	if p.rng.Float64() >= ProbeShare {
+		return nil
+	}
+	var cs choices
+	for _, u := range p.upstreams {
+		if u.usable(now, q.Exclude) {
+			cs.add(u, p.score(now, u), p.rng)
+		}
+	}
+	return cs.nearest()
+}
+
+func (p *Picker) cross(now time.Time, u *upstream, q Query) bool {
+	return p.cfg.Link == nil || p.cfg.Link.take(now, q)
+}
+
+// score estimates the delay that a further call would meet, in seconds. Lower is better.
+func (p *Picker) score(now time.Time, u *upstream) float64 {
+	latency := u.recentLatency(now)
+	if latency == 0 {
+		latency = max(p.latency, minLatency)
+	}
+	slots := float64(max(u.Slots, 1))
+	return latency * float64(u.inFlight+1) / (slots * u.rampShare(now, p.cfg.Ramp))
+}
--- /dev/null
+++ b/internal/core/routing/upstream.go
@@ -0,0 +1,99 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+)
+
+const (
+	// minLatency stands in for an unknown latency, in seconds: a round trip within a zone (2 x 0.5 ms).
+	minLatency = 0.001
+	// latencyWeight is the weight of one sample in a moving average of latencies.
+	latencyWeight = 0.1
+	// latencyMemory is the age at which a latency counts half. An upstream that was slow is so tried again.
+	latencyMemory = 2 * time.Second
+	// rampStart is the share of calls that a cold upstream begins with.
+	rampStart = 0.1
+)
+
+// tier is the distance of an upstream. Lower is preferred.
+type tier uint8
+
+const (
+	tierZone tier = iota
+	tierRegion
+	tierRemote
+	numTiers
+)
+
+// upstream is what the picker knows about one candidate.
+type upstream struct {
+	Candidate
+	tier     tier
+	inFlight int
+
+	latency   float64 // moving average in seconds, 0 while unknown
+	latencyAt time.Time
+
+	cutoff   call.Rank
+	cutoffAt time.Time
+
+	leavingUntil time.Time
+	health       health
+}
+
+// usable reports whether a call may be sent, cutoffs aside.
+func (u *upstream) usable(now time.Time, exclude []string) bool {
+	return !u.ejected(now) && !now.Before(u.leavingUntil) && !slices.Contains(exclude, u.Address)
+}
+
+// refuses reports whether a valid hint puts the rank below the upstream's cutoff.
+func (u *upstream) refuses(now time.Time, r call.Rank) bool {
+	return r < u.cutoff && now.Sub(u.cutoffAt) < HintTTL
+}
+
+// recordHint takes the cutoff from a response of the upstream. Other results carry none.
+func (u *upstream) recordHint(now time.Time, r Result) {
+	if r.Outcome == call.OutcomeAnswered || refusedByUpstream(r) {
+		u.cutoff = r.Cutoff
+		u.cutoffAt = now
+	}
+}
+
+func refusedByUpstream(r Result) bool {
+	return r.Outcome == call.OutcomeNotRun && (r.Reason == call.ReasonOverload || r.Reason == call.ReasonDeadline)
+}
+
+func (u *upstream) recordLatency(now time.Time, d time.Duration) {
+	u.latency = average(u.latency, d.Seconds())
+	u.latencyAt = now
+}
+
+// recentLatency returns the average latency, which counts less the older it is.
+func (u *upstream) recentLatency(now time.Time) float64 {
+	if u.latency == 0 {
+		return 0
+	}
+	age := max(now.Sub(u.latencyAt), 0)
+	return max(u.latency/(1+age.Seconds()/latencyMemory.Seconds()), minLatency)
+}
+
+// rampShare returns the share of calls that a starting upstream takes, rising to 1 over the ramp. An upstream that
+// returns from ejection starts again.
+func (u *upstream) rampShare(now time.Time, ramp time.Duration) float64 {
+	since := u.ServingSince
+	if u.health.until.After(since) {
+		since = u.health.until
+	}
+	share := now.Sub(since).Seconds() / ramp.Seconds()
+	return min(max(share, rampStart), 1)
+}
+
+func average(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + latencyWeight*(sample-old)
+}
