Add example deployments and the certs subcommand

Ruled out: 33 settings files kept by hand, because addresses and bootstrap peers depend on each other.

Change: settings are generated from a table and committed; ports follow the scheme 2DZSP. Chains are four services deep. The presets differ in retries, queue delay, slots, lowest class and link budget. guavapoint-standin certs writes the certificates that the settings name.

Measured: go test ./examples/... checks that the settings load, that no address is used twice, that routes, calls and operations match, and that the committed files equal the table's.

Conclusion: both deployments are ready for the daemon.

--- a/cmd/guavapoint-standin/backend.go
+++ b/cmd/guavapoint-standin/backend.go
@@ -27,7 +27,7 @@
 		Usage: "run a stand-in backend server until SIGTERM, then drain it",
 		Description: "Flags override the configuration file. Example:\n\n" +
 			"guavapoint-standin backend --config examples/registry/backends/lookup.json \\\n" +
-			"  --name lookup-1 --listen 127.0.0.1:21012 --daemon 127.0.0.1:21011\n\n" +
+			"  --name lookup-1 --listen 127.0.0.1:21114 --daemon 127.0.0.1:21112\n\n" +
 			"The process exits with code 3 when a request crashes it.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "listen", Required: true, Usage: "loopback `IP:PORT` to listen on"},
--- a/cmd/guavapoint-standin/load.go
+++ b/cmd/guavapoint-standin/load.go
@@ -20,7 +20,7 @@
 		Name:  "load",
 		Usage: "send a mix of calls at a bounded rate and report what the callers were told",
 		Description: "Example:\n\n" +
-			"guavapoint-standin load --entry 127.0.0.1:21011 --mix examples/registry/mix.json \\\n" +
+			"guavapoint-standin load --entry 127.0.0.1:21112 --mix examples/registry/mix.json \\\n" +
 			"  --rate 200 --duration 10s --record calls.jsonl",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{Name: "entry", Required: true, Usage: "call address `IP:PORT` of an entry daemon; repeatable"},
--- /dev/null
+++ b/examples/generate/main_test.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"guavapoint.example/guavapoint/internal/settings"
+	"guavapoint.example/guavapoint/internal/standin/backend"
+	"guavapoint.example/guavapoint/internal/standin/certs"
+	"guavapoint.example/guavapoint/internal/standin/load"
+)
+
+func readJSON[T any](t *testing.T, name string) T {
+	t.Helper()
+	data, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var v T
+	if err := json.Unmarshal(data, &v); err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	return v
+}
+
+// Guards against committed settings that differ from the table.
+func TestSettingsAreGenerated(t *testing.T) {
+	dir := t.TempDir()
+	if err := write(dir); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range deployments {
+		names, err := filepath.Glob(filepath.Join("..", d.name, "settings", "*.json"))
+		if err != nil || len(names) != len(d.documents()) {
+			t.Errorf("%s: %d files for %d daemons", d.name, len(names), len(d.documents()))
+		}
+		for _, name := range names {
+			got, _ := os.ReadFile(name)
+			want, err := os.ReadFile(filepath.Join(dir, d.name, "settings", filepath.Base(name)))
+			if err != nil || string(got) != string(want) {
+				t.Errorf("%s differs from the table; run go generate ./examples/generate", name)
+			}
+		}
+	}
+}
+
+// Guards against settings that a daemon rejects and against two processes with one address.
+func TestSettingsAreValid(t *testing.T) {
+	dir := t.TempDir()
+	if err := write(dir); err != nil {
+		t.Fatal(err)
+	}
+	used := make(map[string]string)
+	for _, d := range deployments {
+		authority, err := certs.NewAuthority(filepath.Join(dir, d.name, "tls"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name := range d.documents() {
+			if _, err := authority.Issue(name); err != nil {
+				t.Fatal(err)
+			}
+			s, err := settings.Load(filepath.Join(dir, d.name, "settings", name+".json"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, a := range []string{s.PeerAddress, s.CallAddress, s.AdminAddress, s.Backend.URL[len("http://"):]} {
+				if other := used[a]; other != "" {
+					t.Errorf("%s and %s use %s", name, other, a)
+				}
+				used[a] = name
+			}
+		}
+	}
+}
+
+// operations is the part of a configuration document that the example's routes have to match.
+type operations struct {
+	Services map[string]struct {
+		Operations []struct {
+			Name, Method, Path, Class string
+			Idempotent                bool
+		}
+	}
+}
+
+// depth returns the number of services in the deepest chain of calls from an operation, and fails for a call to a route
+// that doesn't exist.
+func depth(t *testing.T, backends map[string]backend.Config, service, method, path string) int {
+	t.Helper()
+	for _, r := range backends[service].Routes {
+		if r.Method != method || r.Path != path {
+			continue
+		}
+		deepest := 0
+		for _, c := range r.Calls {
+			deepest = max(deepest, depth(t, backends, c.Service, c.Method, c.Path))
+		}
+		return deepest + 1
+	}
+	t.Errorf("%s has no route %s %s", service, method, path)
+	return 0
+}
+
+// Guards against examples whose parts don't fit together: operations without a route, routes without an operation,
+// calls that the settings don't list, a shallow call chain, important operations with a low class.
+func TestDeploymentsFitTogether(t *testing.T) {
+	important := map[string]bool{"transfer": true, "allocation": true, "crossing-booking": true}
+	for _, d := range deployments {
+		dir := filepath.Join("..", d.name)
+		backends := make(map[string]backend.Config)
+		ops := readJSON[operations](t, filepath.Join(dir, "config.json"))
+		routes, deepest := 0, 0
+		for _, s := range d.services {
+			backends[s.name] = checkBackend(t, filepath.Join(dir, "backends", s.name+".json"), s)
+			routes += len(backends[s.name].Routes)
+		}
+		for service, o := range ops.Services {
+			for _, op := range o.Operations {
+				routes--
+				deepest = max(deepest, depth(t, backends, service, op.Method, op.Path))
+				if important[op.Name] && (op.Class != "critical" || op.Idempotent) {
+					t.Errorf("%s: %s is %s, idempotent %v", d.name, op.Name, op.Class, op.Idempotent)
+				}
+			}
+		}
+		if routes != 0 || deepest < 4 {
+			t.Errorf("%s: %d routes without an operation, %d services deep", d.name, routes, deepest)
+		}
+		data, err := os.ReadFile(filepath.Join(dir, "mix.json"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := load.ParseMix(data); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func checkBackend(t *testing.T, name string, s service) backend.Config {
+	t.Helper()
+	data, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := backend.ParseConfig(data)
+	if err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	if cfg.Service != s.name || cfg.Slots != s.slots || cfg.Connections != s.connections {
+		t.Errorf("%s: %s with %d slots and %d connections", name, cfg.Service, cfg.Slots, cfg.Connections)
+	}
+	for _, r := range cfg.Routes {
+		for _, c := range r.Calls {
+			if len(s.calls) != 1 || c.Service != s.calls[0] {
+				t.Errorf("%s calls %s, which the settings don't list", name, c.Service)
+			}
+		}
+	}
+	cfg.Name, cfg.Daemon = "n", "127.0.0.1:1"
+	if _, err := backend.New(cfg, backend.Options{}); err != nil {
+		t.Errorf("%s: %v", name, err)
+	}
+	return cfg
+}
