Let a quiet service retry, and name the caller's daemon in calls

Cause: with a share of 10% of recent first attempts, a service with fewer than ten calls in 10 s could never retry; found by TestLostIdempotentCallIsRetriedWithinTheBudget of the daemon. The UDP source address of a call isn't the address to pull a configuration from. Ruled out: a higher share, which would let retries carry an overload. Change: RatioConfig.Floor, one retry per second; CallHeader.From.

--- a/internal/core/retry/ratio.go
+++ b/internal/core/retry/ratio.go
@@ -11,6 +11,9 @@
 	DefaultRatio = 0.1
 	// DefaultWindow is long enough to hold some first attempts of a service with a few calls per second.
 	DefaultWindow = 10 * time.Second
+	// DefaultFloor is one retry per second. It is below 1% of the 160 calls/s of a daemon at the target size, and so
+	// can't carry an overload.
+	DefaultFloor = 10
 )
 
 // RatioConfig holds the parameters of a Ratio.
@@ -19,6 +22,9 @@
 	Ratio float64
 	// Window is how long an attempt counts as recent. Zero means DefaultWindow.
 	Window time.Duration
+	// Floor is the number of retries in each window that are allowed at any share. Without it a service with fewer than
+	// 1/Ratio calls in a window could never retry. Zero means none.
+	Floor int
 }
 
 // Ratio keeps the retries to one service below a share of the recent first attempts. It is not safe for concurrent use.
@@ -52,7 +58,7 @@
 // Allow reports whether one more retry keeps retries below the share, and records the retry if it does.
 func (r *Ratio) Allow(now time.Time) bool {
 	b := r.advance(now)
-	if float64(r.total.retries+1) >= r.cfg.Ratio*float64(r.total.first) {
+	if r.total.retries >= r.cfg.Floor && float64(r.total.retries+1) >= r.cfg.Ratio*float64(r.total.first) {
 		return false
 	}
 	b.retries++
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -55,6 +55,9 @@
 
 	TraceParent string        `cbor:"13,keyasint,omitempty"`
 	Config      ConfigVersion `cbor:"14,keyasint"`
+	// From is the peer address of the caller's daemon. The UDP source address may be another one, because a connection can
+	// be opened from any local port.
+	From string `cbor:"15,keyasint,omitempty"`
 }
 
 // AnswerHeader opens the answer on a call stream. Where Outcome is call.OutcomeAnswered, the body follows in frames and
