--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,150 @@
+package telemetry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+)
+
+// Buckets in seconds. Latencies reach from a lookup in the own zone to the longest ordinary timeout. The time that the
+// daemon adds has a boundary at its target of 0.37 ms (docs/design.md, section 1.6).
+var (
+	latencyBuckets = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10}
+	addedBuckets   = []float64{0.00005, 0.0001, 0.0002, 0.00037, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.05, 0.1}
+)
+
+// Call is one finished call. The names must come from the configuration, not from the caller, since each combination
+// is a time series.
+type Call struct {
+	Service string
+	Class   call.Class
+	Outcome call.Outcome
+	Reason  call.Reason
+	// Latency is the time from the arrival of the request to the end of the response.
+	Latency time.Duration
+	// Added is the part of Latency that the daemon itself took, without queueing.
+	Added time.Duration
+}
+
+// Gauges are the values that are read at each scrape.
+type Gauges struct {
+	Limit, InFlight, Waiting int
+	Cutoff                   call.Rank
+	// Members counts the known daemons by state.
+	Members map[string]int
+	// ConfigEpoch and ConfigRevision are the version of the configuration in effect.
+	ConfigEpoch, ConfigRevision uint64
+}
+
+// instruments are the metrics of one daemon.
+type instruments struct {
+	meter   metric.Meter
+	calls   metric.Int64Counter
+	retries metric.Int64Counter
+	refused metric.Int64Counter
+	latency metric.Float64Histogram
+	added   metric.Float64Histogram
+	// labels caches the label sets, which are costly to build, by Call without its times, by service and by reason.
+	labels sync.Map
+}
+
+func (i *instruments) create(m metric.Meter) error {
+	i.meter = m
+	var errs [5]error
+	i.calls, errs[0] = m.Int64Counter("calls", metric.WithDescription("Finished calls."))
+	i.retries, errs[1] = m.Int64Counter("retries", metric.WithDescription("Retries that this daemon made."))
+	i.refused, errs[2] = m.Int64Counter("refused", metric.WithDescription("Calls that this daemon refused."))
+	i.latency, errs[3] = m.Float64Histogram("call.duration", metric.WithUnit("s"),
+		metric.WithDescription("Time from request to end of response."),
+		metric.WithExplicitBucketBoundaries(latencyBuckets...))
+	i.added, errs[4] = m.Float64Histogram("added.duration", metric.WithUnit("s"),
+		metric.WithDescription("Time that the daemon added to a call."),
+		metric.WithExplicitBucketBoundaries(addedBuckets...))
+	return errors.Join(errs[:]...)
+}
+
+// CallDone records a finished call.
+func (i *instruments) CallDone(c Call) {
+	ctx := context.Background()
+	latency, added := c.Latency.Seconds(), c.Added.Seconds()
+	c.Latency, c.Added = 0, 0
+	labels := i.cached(c, func() []attribute.KeyValue {
+		return []attribute.KeyValue{
+			attribute.String("service", c.Service), attribute.String("class", c.Class.String()),
+			attribute.String("outcome", c.Outcome.String()), attribute.String("reason", string(c.Reason)),
+		}
+	})
+	i.calls.Add(ctx, 1, labels)
+	service := i.serviceLabel(c.Service)
+	i.latency.Record(ctx, latency, service)
+	i.added.Record(ctx, added, service)
+}
+
+// Retry counts a retry that this daemon made.
+func (i *instruments) Retry(service string) {
+	i.retries.Add(context.Background(), 1, i.serviceLabel(service))
+}
+
+// Refused counts a call that this daemon itself refused.
+func (i *instruments) Refused(reason call.Reason) {
+	i.refused.Add(context.Background(), 1, i.cached(reason, func() []attribute.KeyValue {
+		return []attribute.KeyValue{attribute.String("reason", string(reason))}
+	}))
+}
+
+func (i *instruments) serviceLabel(service string) metric.MeasurementOption {
+	return i.cached(service, func() []attribute.KeyValue {
+		return []attribute.KeyValue{attribute.String("service", service)}
+	})
+}
+
+// cached returns the label set for a key, and builds it on first use.
+func (i *instruments) cached(key any, build func() []attribute.KeyValue) metric.MeasurementOption {
+	if known, ok := i.labels.Load(key); ok {
+		return known.(metric.MeasurementOption)
+	}
+	option := metric.WithAttributeSet(attribute.NewSet(build()...))
+	i.labels.Store(key, option)
+	return option
+}
+
+// Observe registers the function that returns the gauges at each scrape. It must be called once, and f must be safe
+// for concurrent use.
+func (i *instruments) Observe(f func() Gauges) error {
+	var errs []error
+	gauge := func(name, description string) metric.Int64ObservableGauge {
+		g, err := i.meter.Int64ObservableGauge(name, metric.WithDescription(description))
+		errs = append(errs, err)
+		return g
+	}
+	limit := gauge("limit", "Largest number of running requests.")
+	inFlight := gauge("in_flight", "Running requests.")
+	waiting := gauge("waiting", "Requests in the queue.")
+	cutoff := gauge("cutoff_rank", "Rank below which calls are refused; the class is in the top 8 of 32 bits.")
+	members := gauge("members", "Known daemons by state.")
+	epoch := gauge("config_epoch", "Epoch of the configuration in effect.")
+	revision := gauge("config_revision", "Revision of the configuration in effect.")
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	_, err := i.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		g := f()
+		o.ObserveInt64(limit, int64(g.Limit))
+		o.ObserveInt64(inFlight, int64(g.InFlight))
+		o.ObserveInt64(waiting, int64(g.Waiting))
+		o.ObserveInt64(cutoff, int64(g.Cutoff))
+		o.ObserveInt64(epoch, int64(g.ConfigEpoch))
+		o.ObserveInt64(revision, int64(g.ConfigRevision))
+		for state, n := range g.Members {
+			o.ObserveInt64(members, int64(n), metric.WithAttributes(attribute.String("state", state)))
+		}
+		return nil
+	}, limit, inFlight, waiting, cutoff, members, epoch, revision)
+	return err
+}
