Add command line with daemon, check and version

Cause: operators need to check files before they reach a daemon, and scripts need stable exit codes.

Ruled out: letting the flag library exit, because its codes for usage errors, unknown commands and missing flags differ.

Change: package cli maps every error to one of six documented exit codes, prints results as a table or JSON on stdout and messages on stderr, and takes the function that runs the daemon from the main package. Until such a function is passed, the program has no daemon command. check reports all problems of all settings files.

--- /dev/null
+++ b/internal/cli/check.go
@@ -0,0 +1,150 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"guavapoint.example/guavapoint/internal/settings"
+)
+
+// Kinds of files that check understands.
+const (
+	kindSettings = "settings"
+)
+
+// checkResult is the result for one file.
+type checkResult struct {
+	File     string         `json:"file"`
+	Kind     string         `json:"kind"`
+	Valid    bool           `json:"valid"`
+	Problems []checkProblem `json:"problems"`
+}
+
+// checkProblem is one thing that is wrong with a file. Field is empty for the whole file.
+type checkProblem struct {
+	Field   string `json:"field,omitempty"`
+	Found   string `json:"found"`
+	Allowed string `json:"allowed,omitempty"`
+}
+
+func (p checkProblem) String() string {
+	text := "found " + p.Found
+	if p.Field != "" {
+		text = p.Field + ": " + text
+	}
+	if p.Allowed != "" {
+		text += "; allowed: " + p.Allowed
+	}
+	return text
+}
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check settings files without side effects",
+		ArgsUsage: "FILE...",
+		Description: "Reports all problems of all files and exits with 2 if there are any. Nothing is started, sent or " +
+			"written.\n\nExamples:\n\n" +
+			"guavapoint check /etc/guavapoint/settings.json\n" +
+			"guavapoint check --output json examples/registry/settings/*.json",
+		Flags:  []cli.Flag{outputFlag()},
+		Action: runCheck,
+	}
+}
+
+func runCheck(_ context.Context, cmd *cli.Command) error {
+	if !cmd.Args().Present() {
+		return usageError(eris.Errorf("no file is named; see %s --help", cmd.FullName()))
+	}
+	var results checkResults
+	invalid := 0
+	for _, name := range cmd.Args().Slice() {
+		r := checkFile(name)
+		if !r.Valid {
+			invalid++
+		}
+		results = append(results, r)
+	}
+	if err := writeResult(cmd, results, results.writeTable); err != nil {
+		return err
+	}
+	if invalid > 0 {
+		return usageError(eris.Errorf("%d of %d files are invalid", invalid, len(results)))
+	}
+	return nil
+}
+
+func checkFile(name string) checkResult {
+	_, err := settings.Load(name)
+	return newCheckResult(name, kindSettings, settingsProblems(err))
+}
+
+func newCheckResult(name, kind string, problems []checkProblem) checkResult {
+	if problems == nil {
+		problems = []checkProblem{} // an empty array in JSON, not null
+	}
+	return checkResult{File: name, Kind: kind, Valid: len(problems) == 0, Problems: problems}
+}
+
+func settingsProblems(err error) []checkProblem {
+	var unreadable *settings.ReadError
+	if errors.As(err, &unreadable) {
+		return wholeFile(unreadable.Err)
+	}
+	var invalid *settings.InvalidError
+	if !errors.As(err, &invalid) {
+		return wholeFile(err)
+	}
+	var problems []checkProblem
+	for _, p := range invalid.Problems {
+		problems = append(problems, checkProblem{Field: p.Field, Found: p.Found, Allowed: p.Allowed})
+	}
+	return problems
+}
+
+// wholeFile describes an error that concerns no field.
+func wholeFile(err error) []checkProblem {
+	if err == nil {
+		return nil
+	}
+	return []checkProblem{{Found: fmt.Sprintf("an error (%v)", err), Allowed: "a readable file"}}
+}
+
+// count returns a number with its noun.
+func count(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
+
+type checkResults []checkResult
+
+func (rs checkResults) writeTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "file\tkind\tresult")
+	for _, r := range rs {
+		result := "valid"
+		if !r.Valid {
+			result = count(len(r.Problems), "problem")
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\n", r.File, r.Kind, result)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	for _, r := range rs {
+		for _, p := range r.Problems {
+			if _, err := fmt.Fprintf(w, "%s: %s\n", r.File, p); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/program.go
@@ -0,0 +1,83 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"guavapoint.example/guavapoint/internal/settings"
+)
+
+// DaemonFunc runs a daemon. When ctx ends, the daemon shuts down gracefully and the function returns nil once nothing is
+// in flight any more. An *Error in the returned chain sets the exit code.
+type DaemonFunc func(ctx context.Context, s *settings.Settings) error
+
+// Program is the guavapoint program.
+type Program struct {
+	// Daemon runs the daemon. Without it, the program has no daemon command.
+	Daemon DaemonFunc
+	// Stdout and Stderr receive results and messages.
+	Stdout, Stderr io.Writer
+}
+
+// Run executes the command line args, of which the first is the program's name, and returns the exit code.
+func (p *Program) Run(ctx context.Context, args []string) ExitCode {
+	err := p.root().Run(ctx, args)
+	if err != nil {
+		fmt.Fprintf(p.Stderr, "guavapoint: %v\n", err)
+	}
+	return exitCode(err)
+}
+
+func (p *Program) root() *cli.Command {
+	root := &cli.Command{
+		Name:            "guavapoint",
+		Usage:           "overload control for service call graphs",
+		Description:     exitCodeHelp,
+		HideHelpCommand: true,
+		Commands:        p.commands(),
+		Action:          showHelp,
+		Writer:          p.Stdout,
+		ErrWriter:       p.Stderr,
+		ExitErrHandler:  func(context.Context, *cli.Command, error) {}, // Run returns the exit code
+	}
+	setUsageErrors(root)
+	return root
+}
+
+func (p *Program) commands() []*cli.Command {
+	commands := []*cli.Command{checkCommand(), versionCommand()}
+	if p.Daemon != nil {
+		commands = append([]*cli.Command{p.daemonCommand()}, commands...)
+	}
+	return commands
+}
+
+// showHelp is the action of a command that has subcommands only.
+func showHelp(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return usageError(eris.Errorf("unknown command %q; see %s --help", cmd.Args().First(), cmd.FullName()))
+	}
+	return cli.ShowRootCommandHelp(cmd)
+}
+
+// setUsageErrors turns the library's flag errors of cmd and its subcommands into usage errors.
+func setUsageErrors(cmd *cli.Command) {
+	cmd.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+		return usageError(eris.Errorf("%v; see %s --help", err, cmd.FullName()))
+	}
+	for _, sub := range cmd.Commands {
+		setUsageErrors(sub)
+	}
+}
+
+// noArgs rejects positional arguments, which are mostly flags without dashes.
+func noArgs(cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return usageError(eris.Errorf("unexpected argument %q; see %s --help", cmd.Args().First(), cmd.FullName()))
+	}
+	return nil
+}
