Add the platform client and its stand-in

Cause: operators' configuration, relay leases and zone summaries are kept in the platform's key-value service. Errors tell whether a write took effect: only a failed dial and refusals by rate, argument or lease are "did not take effect"; everything else after sending is unknown, status 503 included, which the service also returns for accepted requests that timed out. internal/standin/kvstore speaks the same format with leases, watches, delay, outage, lost responses, rate limits, restore and a call counter. Ruled out: a second try of a write at another endpoint, and the transport's own repetition, both of which hide an effective write behind a conflict.

--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,188 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/platform"
+	"guavapoint.example/guavapoint/internal/standin/kvstore"
+)
+
+type clock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *clock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+func newPair(t *testing.T, limits kvstore.Limits) (*platform.Client, *kvstore.Store, *clock) {
+	t.Helper()
+	clk := &clock{now: time.Unix(1_800_000_000, 0)}
+	store := kvstore.New(clk.Now, limits)
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	client, err := platform.NewClient([]string{server.URL}, server.Client(), 5*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return client, store, clk
+}
+
+func wantErr(t *testing.T, what string, got, want error) {
+	t.Helper()
+	if !errors.Is(got, want) {
+		t.Fatalf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+// Guards against a compare-and-swap that overwrites another writer, and against values changed by the encoding.
+func TestCompareAndSwap(t *testing.T) {
+	c, _, _ := newPair(t, kvstore.Limits{})
+	ctx := context.Background()
+	_, err := c.Get(ctx, "a/1")
+	wantErr(t, "get of nothing", err, platform.ErrNotFound)
+	value := []byte{0, 0xff, '"'}
+	rev, err := c.CompareAndSwap(ctx, "a/1", 0, value, 0)
+	wantErr(t, "create", err, nil)
+	_, err = c.CompareAndSwap(ctx, "a/1", 0, value, 0)
+	wantErr(t, "second create", err, platform.ErrConflict)
+	rev2, err := c.CompareAndSwap(ctx, "a/1", rev, value, 0)
+	wantErr(t, "update", err, nil)
+	_, err = c.CompareAndSwap(ctx, "a/1", rev, value, 0)
+	wantErr(t, "stale update", err, platform.ErrConflict)
+	kvs, at, err := c.List(ctx, "a/")
+	if err != nil || len(kvs) != 1 || string(kvs[0].Value) != string(value) || kvs[0].Revision != rev2 || at != rev2 {
+		t.Fatalf("list: %v %v %v", kvs, at, err)
+	}
+	wantErr(t, "delete", c.Delete(ctx, "a/1"), nil)
+	_, err = c.Get(ctx, "a/1")
+	wantErr(t, "get after delete", err, platform.ErrNotFound)
+}
+
+// Guards against a lease that outlives its time, and a write under it that takes effect.
+func TestLease(t *testing.T) {
+	c, _, clk := newPair(t, kvstore.Limits{})
+	ctx := context.Background()
+	id, err := c.Grant(ctx, 9*time.Second)
+	wantErr(t, "grant", err, nil)
+	_, err = c.CompareAndSwap(ctx, "k", 0, []byte("v"), id)
+	wantErr(t, "write", err, nil)
+	clk.advance(8 * time.Second)
+	wantErr(t, "renewal", c.KeepAlive(ctx, id), nil)
+	clk.advance(8 * time.Second)
+	_, err = c.Get(ctx, "k")
+	wantErr(t, "get within the lease", err, nil)
+	clk.advance(2 * time.Second)
+	wantErr(t, "renewal after the end", c.KeepAlive(ctx, id), platform.ErrLeaseLost)
+	_, err = c.Get(ctx, "k")
+	wantErr(t, "get after the end", err, platform.ErrNotFound)
+	_, err = c.CompareAndSwap(ctx, "k", 0, []byte("v"), id)
+	wantErr(t, "write after the end", err, platform.ErrLeaseLost)
+}
+
+// Guards against a write that took effect and is reported as ineffective, or the reverse.
+func TestErrorsTellWhetherWritesTookEffect(t *testing.T) {
+	c, store, _ := newPair(t, kvstore.Limits{Writes: 3})
+	ctx := context.Background()
+	store.LoseResponses(1)
+	_, err := c.CompareAndSwap(ctx, "k", 0, []byte("v"), 0)
+	wantErr(t, "lost response", err, platform.ErrUnknown)
+	_, err = c.CompareAndSwap(ctx, "k", 0, []byte("v"), 0)
+	wantErr(t, "the write took effect", err, platform.ErrConflict)
+	store.SetDown(true)
+	_, err = c.CompareAndSwap(ctx, "k", 0, []byte("v"), 0)
+	wantErr(t, "outage behind the endpoint", err, platform.ErrUnknown)
+	_, err = c.Get(ctx, "k")
+	wantErr(t, "read in an outage", err, platform.ErrUnavailable)
+	store.SetDown(false)
+	_, err = c.CompareAndSwap(ctx, "k", 0, []byte("v"), 0)
+	wantErr(t, "third write", err, platform.ErrConflict)
+	_, err = c.CompareAndSwap(ctx, "k", 0, []byte("v"), 0)
+	wantErr(t, "write above the rate", err, platform.ErrUnavailable)
+	if n := store.Calls()["limited"]; n != 1 {
+		t.Fatalf("%d calls limited", n)
+	}
+}
+
+// Guards against a dead endpoint that makes the platform unreachable.
+func TestEndpointsAreTriedInTurn(t *testing.T) {
+	_, store, _ := newPair(t, kvstore.Limits{})
+	dead := httptest.NewServer(store)
+	dead.Close()
+	live := httptest.NewServer(store)
+	defer live.Close()
+	c, err := platform.NewClient([]string{dead.URL, live.URL}, nil, 5*time.Second)
+	wantErr(t, "new client", err, nil)
+	_, err = c.CompareAndSwap(context.Background(), "k", 0, []byte("v"), 0)
+	wantErr(t, "write", err, nil)
+	c, err = platform.NewClient([]string{dead.URL}, nil, 5*time.Second)
+	wantErr(t, "new client", err, nil)
+	_, err = c.CompareAndSwap(context.Background(), "k", 0, []byte("v"), 0)
+	wantErr(t, "write to a closed port", err, platform.ErrUnavailable)
+}
+
+// Guards against changes that a watch misses, repeats or reports for other keys, and a watch that survives a restore.
+func TestWatch(t *testing.T) {
+	c, store, _ := newPair(t, kvstore.Limits{})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	rev, err := c.CompareAndSwap(ctx, "a/1", 0, []byte("one"), 0)
+	wantErr(t, "write", err, nil)
+	old := store.Snapshot()
+	events := make(chan platform.KV, 10)
+	done := make(chan error, 1)
+	go func() {
+		done <- c.Watch(ctx, "a/", rev, func(kvs []platform.KV) error {
+			for _, kv := range kvs {
+				events <- kv
+			}
+			return nil
+		})
+	}()
+	if kv := <-events; string(kv.Value) != "one" || kv.Revision != rev {
+		t.Fatalf("history: %v", kv)
+	}
+	_, err = c.CompareAndSwap(ctx, "b/1", 0, []byte("other"), 0)
+	wantErr(t, "write outside the prefix", err, nil)
+	wantErr(t, "delete", c.Delete(ctx, "a/1"), nil)
+	if kv := <-events; !kv.Deleted || kv.Key != "a/1" {
+		t.Fatalf("deletion: %v", kv)
+	}
+	store.Restore(old)
+	wantErr(t, "watch over a restore", <-done, platform.ErrUnavailable)
+	kv, err := c.Get(ctx, "a/1")
+	if err != nil || kv.Revision != rev || len(events) != 0 {
+		t.Fatalf("after the restore: %v %v, %d events left", kv, err, len(events))
+	}
+	stop, cancelWatch := context.WithCancel(ctx)
+	cancelWatch()
+	wantErr(t, "watch with a cancelled context", c.Watch(stop, "a/", 0, nil), context.Canceled)
+}
+
+// Guards against a slow platform that holds a caller longer than the timeout, and a write reported as ineffective then.
+func TestTimeout(t *testing.T) {
+	_, store, _ := newPair(t, kvstore.Limits{})
+	server := httptest.NewServer(store)
+	defer server.Close()
+	c, err := platform.NewClient([]string{server.URL}, nil, 20*time.Millisecond)
+	wantErr(t, "new client", err, nil)
+	store.SetDelay(time.Hour)
+	_, err = c.CompareAndSwap(context.Background(), "k", 0, []byte("v"), 0)
+	wantErr(t, "write", err, platform.ErrUnknown)
+	_, err = c.Get(context.Background(), "k")
+	wantErr(t, "read", err, platform.ErrUnavailable)
+}
