Add publisher, relay and configuration sync

Cause: the state machines need their connection to the platform and to peers. Change: internal/control has Publisher (compare-and-swap with change id, read back, three results, higher epoch after a restore), Relay (one of 3 leases, summaries, watches, direct exchange) and ConfigSync (Holder fed from store, versions heard and pulls). Only 6 members of a zone compete for its leases, so that platform calls don't grow with the fleet; a relay doesn't write a summary that another relay of its zone has written. Ruled out: deciding "lost" from the document found after a lost response, which may have replaced ours; the first revision after the base decides. Faults found by the tests and fixed: an empty list of operations was encoded as null and then rejected by every daemon ("found null, allowed: a list"); a write from a base older than a restore used a version twice ("version 1.2 is both a-1 and a-2"), so daemons are asked again right before the write. Conclusion: configuration can't revert under the failures listed; a fork remains possible if the platform is restored while no daemon can be asked.

--- /dev/null
+++ b/internal/control/configsync_test.go
@@ -0,0 +1,278 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"guavapoint.example/guavapoint/internal/core/config"
+	"guavapoint.example/guavapoint/internal/platform"
+	"guavapoint.example/guavapoint/internal/wire"
+)
+
+// configDaemon is one daemon's configuration between two restarts.
+type configDaemon struct {
+	holder *config.Holder
+	sync   *ConfigSync
+	last   config.Version
+}
+
+// configWorld is several daemons, one of them a relay at times, two operators and the platform.
+type configWorld struct {
+	t       *rapid.T
+	now     time.Time
+	store   *fakeStore
+	daemons []*configDaemon
+	cut     []bool
+	old     []*wire.ConfigDocument // every document ever sent, for stale deliveries
+	changes map[config.Version]string
+	ops     []*Publisher
+	bases   []Base
+	wanted  config.Version // highest version accepted and then held by a daemon
+}
+
+func (w *configWorld) start(i int) {
+	d := &configDaemon{holder: config.NewHolder()}
+	d.sync = NewConfigSync(d.holder, w, func() time.Time { return w.now }, nil)
+	w.daemons[i] = d
+}
+
+// PullConfig implements Puller; the address is the daemon's index.
+func (w *configWorld) PullConfig(_ context.Context, address string) (*wire.ConfigDocument, error) {
+	i := int(address[0] - '0')
+	if w.cut[i] {
+		return nil, errors.New("no route")
+	}
+	doc, err := w.daemons[i].sync.Document()
+	if err != nil || doc == nil {
+		return nil, errors.New("no document")
+	}
+	w.old = append(w.old, doc)
+	return doc, nil
+}
+
+func (w *configWorld) inEffect() (config.Version, *config.Document, error) {
+	var best config.Version
+	var doc *config.Document
+	for _, d := range w.daemons {
+		if v, c := d.holder.Current(); doc == nil || best.Less(v) {
+			best, doc = v, c
+		}
+	}
+	return best, doc, nil
+}
+
+// check guards the invariants after each action.
+func (w *configWorld) check() {
+	for i, d := range w.daemons {
+		v, doc := d.holder.Current()
+		if v.Less(d.last) {
+			w.t.Fatalf("daemon %d went from %v to %v", i, d.last, v)
+		}
+		d.last = v
+		if doc == nil {
+			continue
+		}
+		if id, ok := w.changes[v]; ok && id != doc.ChangeID {
+			w.t.Fatalf("version %v is both %s and %s", v, id, doc.ChangeID)
+		}
+		w.changes[v] = doc.ChangeID
+		if w.wanted.Less(v) {
+			w.wanted = v
+		}
+	}
+	if v, _, _ := w.inEffect(); v.Less(w.wanted) {
+		w.t.Fatalf("the highest version went from %v to %v", w.wanted, v)
+	}
+}
+
+func (w *configWorld) relayReads(i int) {
+	if kv, ok := w.store.items[ConfigKey]; ok {
+		err := w.daemons[i].sync.FromStore(kv)
+		if err != nil && !errors.Is(err, ErrStoreBehind) {
+			w.t.Fatalf("from store: %v", err)
+		}
+	}
+}
+
+func (w *configWorld) hear(i, j int) {
+	if !w.cut[i] && !w.cut[j] {
+		w.daemons[i].sync.Heard(string(rune('0'+j)), w.daemons[j].sync.Version())
+	}
+}
+
+// restart replaces a daemon unless it alone holds the highest version: what is lost with all its holders can't return.
+func (w *configWorld) restart(i int) {
+	holders := 0
+	for j, d := range w.daemons {
+		if v, _ := d.holder.Current(); j != i && v == w.wanted {
+			holders++
+		}
+	}
+	if holders > 0 {
+		w.start(i)
+	}
+}
+
+func (w *configWorld) act() {
+	t := w.t
+	ctx := context.Background()
+	i := rapid.IntRange(0, len(w.daemons)-1).Draw(t, "daemon")
+	j := rapid.IntRange(0, len(w.daemons)-1).Draw(t, "peer")
+	op := rapid.IntRange(0, 1).Draw(t, "operator")
+	w.now = w.now.Add(time.Second)
+	switch rapid.SampledFrom([]string{"read", "publish", "publish", "relay", "hear", "hear", "pull", "pull", "cut", "stale",
+		"restart", "restore", "outage"}).Draw(t, "action") {
+	case "read":
+		if base, err := w.ops[op].Current(ctx); err == nil {
+			w.bases[op] = base
+		}
+	case "publish":
+		_, _ = w.ops[op].Publish(ctx, w.bases[op], testDocument(t)) // the outcome is another test's subject
+	case "relay":
+		w.relayReads(i)
+	case "hear":
+		w.hear(i, j)
+	case "pull":
+		_ = w.daemons[i].sync.Step(ctx) // fails while cut
+	case "cut":
+		w.cut[i] = !w.cut[i]
+	case "stale":
+		if len(w.old) > 0 {
+			_ = w.daemons[i].sync.Receive(rapid.SampledFrom(w.old).Draw(t, "document")) // usually stale
+		}
+	case "restart":
+		w.restart(i)
+	case "restore":
+		w.store.restore(rapid.Int64Range(1, w.store.rev).Draw(t, "revision"))
+	case "outage":
+		w.store.faulty = !w.store.faulty
+	}
+}
+
+// Guards against a daemon that reverts to an older configuration, two documents under one version, and daemons that
+// stay apart, under restarts, outage, restore from an older copy, stale messages and two operators.
+func TestConfigurationNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &configWorld{
+			t: t, now: time.Unix(1_800_000_000, 0), store: newFakeStore(t), daemons: make([]*configDaemon, 4),
+			cut: make([]bool, 4), changes: make(map[config.Version]string), bases: make([]Base, 2),
+		}
+		for i := range w.daemons {
+			w.start(i)
+		}
+		for _, name := range []string{"a", "b"} {
+			w.ops = append(w.ops, &Publisher{Store: w.store, Fleet: fleetFunc(w.inEffect), NewID: counterIDs(name)})
+		}
+		for range rapid.IntRange(5, 60).Draw(t, "actions") {
+			w.act()
+			w.check()
+		}
+		w.store.faulty = false
+		clear(w.cut)
+		for range 4 {
+			for i := range w.daemons {
+				w.relayReads(i)
+				for j := range w.daemons {
+					w.hear(i, j)
+				}
+				w.now = w.now.Add(time.Second)
+				_ = w.daemons[i].sync.Step(context.Background()) // the versions below decide
+				w.check()
+			}
+		}
+		highest, _, _ := w.inEffect()
+		for i, d := range w.daemons {
+			if v, _ := d.holder.Current(); v != highest {
+				t.Fatalf("daemon %d stays at %v, highest is %v", i, v, highest)
+			}
+		}
+	})
+}
+
+// Guards against documents that are taken over unchecked, and against pulling a rejected one with every heartbeat.
+func TestReceiveValidatesAgain(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	pulls := 0
+	bad, err := Compress([]byte(`{"format": 1}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	bomb, err := Compress([]byte(strings.Repeat(" ", config.MaxSize+1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	holder := config.NewHolder()
+	v := wire.ConfigVersion{Epoch: 1, Revision: 7}
+	s := NewConfigSync(holder, pullerFunc(func() *wire.ConfigDocument {
+		pulls++
+		return &wire.ConfigDocument{Version: v, Compressed: bad}
+	}), func() time.Time { return now }, nil)
+	for range 30 {
+		s.Heard("peer", v)
+		if err := s.Step(context.Background()); err != nil && !errors.Is(err, ErrBadDocument) {
+			t.Fatal(err)
+		}
+		now = now.Add(time.Second)
+	}
+	if _, doc := holder.Current(); doc != nil || pulls != 1 {
+		t.Errorf("document %v after %d pulls", doc, pulls)
+	}
+	for _, data := range [][]byte{bomb, {0xff}, nil} {
+		if err := s.Receive(&wire.ConfigDocument{Version: v, Compressed: data}); !errors.Is(err, ErrBadDocument) {
+			t.Errorf("document of %d bytes: %v", len(data), err)
+		}
+	}
+	data, err := testDocument(t).Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	good, err := Compress(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v2 := wire.ConfigVersion{Epoch: 2, Revision: 7}
+	if err := s.Receive(&wire.ConfigDocument{Version: v2, Compressed: good}); !errors.Is(err, ErrBadDocument) {
+		t.Errorf("epoch of the document is 1, of the version 2: %v", err)
+	}
+	if err := s.FromStore(platform.KV{Key: ConfigKey, Value: data, Revision: 9}); err != nil || s.Version().Revision != 9 {
+		t.Errorf("from store: %v", err)
+	}
+	if err := s.FromStore(platform.KV{Key: ConfigKey, Value: data, Revision: 8}); !errors.Is(err, ErrStoreBehind) {
+		t.Errorf("restored platform isn't noticed: %v", err)
+	}
+}
+
+type pullerFunc func() *wire.ConfigDocument
+
+func (f pullerFunc) PullConfig(context.Context, string) (*wire.ConfigDocument, error) {
+	return f(), nil
+}
+
+type failingPuller struct{ asked []string }
+
+func (p *failingPuller) PullConfig(_ context.Context, address string) (*wire.ConfigDocument, error) {
+	p.asked = append(p.asked, address)
+	return nil, errors.New("no route")
+}
+
+// Guards against a failing peer that keeps a daemon from asking the others.
+func TestStepAsksAnotherPeerAfterAFailure(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	p := &failingPuller{}
+	s := NewConfigSync(config.NewHolder(), p, func() time.Time { return now }, nil)
+	for _, peer := range []string{"a", "b"} {
+		s.Heard(peer, wire.ConfigVersion{Epoch: 1, Revision: 7})
+	}
+	for range 3 {
+		_ = s.Step(context.Background()) // every pull fails
+		now = now.Add(time.Second)
+	}
+	if strings.Join(p.asked, "") != "ab" {
+		t.Errorf("asked %v", p.asked)
+	}
+}
--- /dev/null
+++ b/internal/control/fake_test.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"guavapoint.example/guavapoint/internal/core/config"
+	"guavapoint.example/guavapoint/internal/platform"
+)
+
+const testPreset = `{"retry_budget":3,"retry_ratio":0.1,"default_timeout":"2s","slot_share":1,"reserved_share":0.1,
+"queue_delay":"50ms","lowest_class":"low","link_bytes_per_second":400000,"link_upload_share":0.5}`
+
+func testDocument(t interface{ Fatal(...any) }) *config.Document {
+	text := `{"format":1,"epoch":1,"change_id":"x","changed_by":"x","active_preset":"ordinary","presets":{"ordinary":` +
+		testPreset + `,"peak":` + testPreset + `,"maintenance":` + testPreset + `},"services":{"lookup":{"operations":[]}},
+"batches":[]}`
+	d, err := config.Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// fakeStore is a Store whose faults a test draws before each call.
+type fakeStore struct {
+	t       *rapid.T
+	faulty  bool
+	before  func() // runs before each call, for events of other parties
+	rev     int64
+	items   map[string]platform.KV
+	history []platform.KV
+	pending []func() // writes that arrive later than their caller waits
+	applied map[string]bool
+}
+
+func newFakeStore(t *rapid.T) *fakeStore {
+	return &fakeStore{t: t, rev: 1, items: make(map[string]platform.KV), applied: make(map[string]bool), before: func() {}}
+}
+
+func (s *fakeStore) fault(kinds ...string) string {
+	s.before()
+	if !s.faulty {
+		return ""
+	}
+	return rapid.SampledFrom(append(kinds, "", "")).Draw(s.t, "fault")
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (platform.KV, error) {
+	if s.fault("unavailable") != "" {
+		return platform.KV{}, platform.ErrUnavailable
+	}
+	kv, ok := s.items[key]
+	if !ok {
+		return platform.KV{}, platform.ErrNotFound
+	}
+	return kv, nil
+}
+
+func (s *fakeStore) put(key string, rev int64, value []byte) (int64, error) {
+	if s.items[key].Revision != rev {
+		return 0, platform.ErrConflict
+	}
+	s.rev++
+	kv := platform.KV{Key: key, Value: value, Revision: s.rev}
+	s.items[key] = kv
+	s.history = append(s.history, kv)
+	if d, err := config.Parse(value); err == nil {
+		s.applied[d.ChangeID] = true
+	}
+	return s.rev, nil
+}
+
+func (s *fakeStore) CompareAndSwap(_ context.Context, key string, rev int64, value []byte, _ platform.LeaseID) (int64, error) {
+	switch s.fault("unavailable", "lost", "failed", "delayed") {
+	case "unavailable":
+		return 0, platform.ErrUnavailable
+	case "failed":
+		return 0, platform.ErrUnknown
+	case "lost":
+		_, _ = s.put(key, rev, value)
+		return 0, platform.ErrUnknown
+	case "delayed":
+		s.pending = append(s.pending, func() { _, _ = s.put(key, rev, value) })
+		return 0, platform.ErrUnknown
+	}
+	return s.put(key, rev, value)
+}
+
+// flush lets delayed writes arrive.
+func (s *fakeStore) flush() {
+	for _, f := range s.pending {
+		f()
+	}
+	s.pending = nil
+}
+
+// restore goes back to the content at a revision. Delayed writes end with the servers that held them.
+func (s *fakeStore) restore(rev int64) {
+	s.pending = nil
+	s.rev = rev
+	s.items = make(map[string]platform.KV)
+	kept := s.history[:0:0]
+	for _, kv := range s.history {
+		if kv.Revision <= rev {
+			kept = append(kept, kv)
+			s.items[kv.Key] = kv
+		}
+	}
+	s.history = kept
+}
+
+func (s *fakeStore) Watch(_ context.Context, prefix string, from int64, f func([]platform.KV) error) error {
+	if s.fault("unavailable") != "" {
+		return platform.ErrUnavailable
+	}
+	for _, kv := range s.history {
+		if kv.Revision < from || !strings.HasPrefix(kv.Key, prefix) {
+			continue
+		}
+		if err := f([]platform.KV{kv}); err != nil {
+			return err
+		}
+	}
+	return platform.ErrUnavailable
+}
+
+func (s *fakeStore) List(context.Context, string) ([]platform.KV, int64, error)     { panic("unused") }
+func (s *fakeStore) Delete(context.Context, string) error                           { panic("unused") }
+func (s *fakeStore) Grant(context.Context, time.Duration) (platform.LeaseID, error) { panic("unused") }
+func (s *fakeStore) KeepAlive(context.Context, platform.LeaseID) error              { panic("unused") }
+
+type fleetFunc func() (config.Version, *config.Document, error)
+
+func (f fleetFunc) InEffect(context.Context) (config.Version, *config.Document, error) { return f() }
+
+func counterIDs(prefix string) func() string {
+	n := 0
+	return func() string {
+		n++
+		return fmt.Sprintf("%s-%d", prefix, n)
+	}
+}
--- /dev/null
+++ b/internal/control/locked.go
@@ -0,0 +1,91 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/membership"
+)
+
+// LockedNode makes a membership node safe for concurrent use.
+type LockedNode struct {
+	mu   sync.Mutex
+	node *membership.Node
+}
+
+var _ Members = (*LockedNode)(nil)
+
+// NewLockedNode takes over a node, which must not be used directly any more.
+func NewLockedNode(node *membership.Node) *LockedNode {
+	return &LockedNode{node: node}
+}
+
+// Self returns the daemon's own record.
+func (l *LockedNode) Self() membership.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.Self()
+}
+
+// Members returns all records.
+func (l *LockedNode) Members() []membership.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.Members()
+}
+
+// Acquaintances returns the members to tell of a new configuration.
+func (l *LockedNode) Acquaintances() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.Acquaintances()
+}
+
+// ZoneHash returns a hash over the alive records of a zone.
+func (l *LockedNode) ZoneHash(zone string) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.ZoneHash(zone)
+}
+
+// Summary returns the records of the daemon's zone.
+func (l *LockedNode) Summary(now time.Time) membership.Message {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.Summary(now)
+}
+
+// Step handles a message.
+func (l *LockedNode) Step(now time.Time, m membership.Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node.Step(now, m)
+}
+
+// SyncWith compares tables with a member of another zone.
+func (l *LockedNode) SyncWith(now time.Time, address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node.SyncWith(now, address)
+}
+
+// Tick lets time pass.
+func (l *LockedNode) Tick(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node.Tick(now)
+}
+
+// SetState changes the daemon's own state.
+func (l *LockedNode) SetState(now time.Time, s membership.State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node.SetState(now, s)
+}
+
+// Ready returns the output since the last call.
+func (l *LockedNode) Ready() membership.Output {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.Ready()
+}
--- /dev/null
+++ b/internal/control/publisher_test.go
@@ -0,0 +1,178 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"guavapoint.example/guavapoint/internal/core/config"
+	"guavapoint.example/guavapoint/internal/platform"
+)
+
+// publishWorld is one publisher's surroundings: daemons that take the store's document at times, another operator, and
+// restores.
+type publishWorld struct {
+	t      *rapid.T
+	store  *fakeStore
+	holder *config.Holder
+	seen   map[string]bool // change ids that daemons had
+	gone   map[string]bool // change ids that a restore removed before a daemon had them
+	other  *Publisher
+}
+
+func (w *publishWorld) inEffect() (config.Version, *config.Document, error) {
+	v, d := w.holder.Current()
+	return v, d, nil
+}
+
+func (w *publishWorld) propagate() {
+	kv, ok := w.store.items[ConfigKey]
+	if !ok {
+		return
+	}
+	d, err := config.Parse(kv.Value)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if changed, _ := w.holder.Offer(versionOf(kv, d), d); changed {
+		w.seen[d.ChangeID] = true
+	}
+}
+
+// quietly runs f without faults or events.
+func (w *publishWorld) quietly(f func()) {
+	before, faulty := w.store.before, w.store.faulty
+	w.store.before, w.store.faulty = func() {}, false
+	f()
+	w.store.before, w.store.faulty = before, faulty
+}
+
+func (w *publishWorld) otherWrites() {
+	w.quietly(func() {
+		base, err := w.other.Current(context.Background())
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		r, err := w.other.Publish(context.Background(), base, testDocument(w.t))
+		if err != nil || r.Kind != Accepted {
+			w.t.Fatalf("undisturbed publication: %v %v", r, err)
+		}
+	})
+}
+
+func (w *publishWorld) event() {
+	switch rapid.SampledFrom([]string{"", "", "", "", "other", "propagate", "flush", "restore"}).Draw(w.t, "event") {
+	case "other":
+		w.otherWrites()
+	case "propagate":
+		w.propagate()
+	case "flush":
+		w.store.flush()
+	case "restore":
+		rev := rapid.Int64Range(1, w.store.rev).Draw(w.t, "revision")
+		for _, kv := range w.store.history {
+			d, err := config.Parse(kv.Value)
+			if err == nil && kv.Revision > rev && !w.seen[d.ChangeID] {
+				w.gone[d.ChangeID] = true
+			}
+		}
+		w.store.restore(rev)
+	}
+}
+
+// Guards against "accepted" for a change that did not take effect or that daemons ignore, and "lost" or an error for
+// one that did.
+func TestPublisherReportsTheTruth(t *testing.T) {
+	kinds := make(map[string]int)
+	rapid.Check(t, func(t *rapid.T) {
+		for range scenarios {
+			checkPublication(t, kinds)
+		}
+	})
+	t.Logf("outcomes: %v", kinds)
+}
+
+// scenarios is the number of publications in one check: the default 100 checks alone seldom reach a lost response that
+// is followed by another operator's change.
+const scenarios = 8
+
+func checkPublication(t *rapid.T, kinds map[string]int) {
+	store := newFakeStore(t)
+	w := &publishWorld{t: t, store: store, holder: config.NewHolder(), seen: map[string]bool{}, gone: map[string]bool{}}
+	w.other = &Publisher{Store: store, Fleet: fleetFunc(w.inEffect), NewID: counterIDs("other")}
+	p := &Publisher{Store: store, NewID: counterIDs("own"), Fleet: fleetFunc(func() (config.Version, *config.Document, error) {
+		if store.fault("unavailable") != "" {
+			return config.Version{}, nil, errors.New("no daemon answers")
+		}
+		return w.inEffect()
+	})}
+	for range rapid.IntRange(0, 2).Draw(t, "earlier changes") {
+		w.otherWrites()
+	}
+	store.faulty = true
+	store.before = w.event
+	base, err := p.Current(context.Background())
+	if err != nil {
+		return
+	}
+	r, err := p.Publish(context.Background(), base, testDocument(t))
+	store.before, store.faulty = func() {}, false
+	current, doc := w.holder.Current()
+	store.flush()
+	const id = "own-1"
+	switch {
+	case err != nil:
+		kinds["error"]++
+		if store.applied[id] {
+			t.Fatalf("error %v for a change that took effect", err)
+		}
+	case r.Kind == Accepted:
+		kinds["accepted"]++
+		if !store.applied[id] {
+			t.Fatal("accepted, but it did not take effect")
+		}
+		if r.Confirmed && !current.Less(r.Version) && doc.ChangeID != id {
+			t.Fatalf("accepted as %v, but daemons keep %v", r.Version, current)
+		}
+	case r.Kind == Lost:
+		kinds["lost"]++
+		if store.applied[id] && !w.gone[id] {
+			t.Fatal("lost, but it took effect")
+		}
+	default:
+		kinds["unknown"]++
+	}
+}
+
+// Guards against a loser who isn't told the winner, its author and the difference.
+func TestPublisherNamesTheWinner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := newFakeStore(t)
+		a := &Publisher{Store: store, NewID: counterIDs("a")}
+		b := &Publisher{Store: store, NewID: counterIDs("b")}
+		ctx := context.Background()
+		baseA, _ := a.Current(ctx)
+		baseB, _ := b.Current(ctx)
+		next := testDocument(t).Clone()
+		next.ChangedBy, next.Active = "operator b", config.PresetPeak
+		won, err := b.Publish(ctx, baseB, next)
+		if err != nil || won.Kind != Accepted {
+			t.Fatalf("first: %v %v", won, err)
+		}
+		r, err := a.Publish(ctx, baseA, testDocument(t))
+		if err != nil || r.Kind != Lost || r.Winner != won.Version || r.WinnerBy != "operator b" ||
+			fmt.Sprint(r.Difference) != "[active_preset: ordinary -> peak]" {
+			t.Fatalf("second: %+v %v", r, err)
+		}
+		bad := next.Clone()
+		bad.Active = "none"
+		if _, err := a.Publish(ctx, baseA, bad); err == nil || store.applied["a-2"] {
+			t.Fatalf("invalid document: %v", err)
+		}
+	})
+}
+
+var _ platform.Store = (*fakeStore)(nil)
--- /dev/null
+++ b/internal/control/relay.go
@@ -0,0 +1,397 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/membership"
+	"guavapoint.example/guavapoint/internal/platform"
+)
+
+const (
+	// relaysPerZone is the number of leases of a zone; one relay suffices, the others replace it at once.
+	relaysPerZone = 3
+	// relayCandidates is the number of members of a zone that compete for the leases. If all did, the calls would
+	// grow with the fleet.
+	relayCandidates = 6
+	// leaseTTL is 3 renewals, so that two lost renewals don't end a lease.
+	leaseTTL      = 9 * time.Second
+	renewInterval = 3 * time.Second
+	// competeInterval spaces a candidate's looks at the leases: 11 zones with 3 candidates each make 7 reads/s.
+	competeInterval = 5 * time.Second
+	// outageAfter is the time without a successful call after which the platform counts as down.
+	outageAfter = 10 * time.Second
+	// exchangeInterval spaces direct exchanges while the platform works. They correct records that a summary can't:
+	// it has no way back to its writer.
+	exchangeInterval = 30 * time.Second
+	// outageExchangeInterval spaces direct exchanges during an outage.
+	outageExchangeInterval = 5 * time.Second
+	// summaryInterval is the least time between two summaries.
+	summaryInterval = time.Second
+	// summaryRate spaces the summaries of large zones, in bytes per second, so that a zone that starts doesn't
+	// write its whole table every second to all relays of the other zones.
+	summaryRate = 2 << 10
+	// watchRetry is the wait before a watch is opened again.
+	watchRetry = time.Second
+)
+
+// Members is the membership table; *LockedNode implements it.
+type Members interface {
+	Self() membership.Record
+	Members() []membership.Record
+	ZoneHash(zone string) uint64
+	Summary(now time.Time) membership.Message
+	Step(now time.Time, m membership.Message)
+	SyncWith(now time.Time, address string)
+}
+
+// Relay connects a zone to the platform and to the other zones, if it obtains one of the zone's leases. It is safe for
+// concurrent use, but Step must not run twice at once.
+type Relay struct {
+	store   platform.Store
+	members Members
+	configs *ConfigSync
+	now     func() time.Time
+	rng     *rand.Rand
+	report  func(error)
+
+	mu           sync.Mutex
+	lease        platform.LeaseID
+	leaseEnd     time.Time // by this daemon's clock; the lease may last longer
+	nextLease    time.Time
+	lastRank     int       // at the last competition
+	lastOK       time.Time // last successful call
+	nextExchange time.Time
+	nextSummary  time.Time
+	summaryHash  uint64            // of the last summary written
+	summaryRev   int64             // of this relay's key, 0 if unknown or absent
+	ownZone      map[string]uint64 // zone hash by key, of the summaries of this zone's relays
+}
+
+// NewRelay returns a Relay. report, which may be nil, receives the errors that the relay recovers from itself.
+func NewRelay(store platform.Store, members Members, configs *ConfigSync, now func() time.Time, rng *rand.Rand,
+	report func(error)) *Relay {
+	if report == nil {
+		report = func(error) {}
+	}
+	return &Relay{
+		store: store, members: members, configs: configs, now: now, rng: rng, report: report,
+		lastOK: now(), lastRank: relayCandidates, ownZone: make(map[string]uint64),
+	}
+}
+
+// Active reports whether this daemon holds a lease.
+func (r *Relay) Active() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease != 0 && r.now().Before(r.leaseEnd)
+}
+
+// PlatformDown reports whether calls have failed for a while. Only daemons that make calls can tell.
+func (r *Relay) PlatformDown() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.now().Sub(r.lastOK) > outageAfter
+}
+
+// Step does what is due: competing for a lease or renewing it, writing the summary, exchanging tables. Callers call it
+// about every 250 ms; it makes at most a few calls with the store's timeout.
+func (r *Relay) Step(ctx context.Context) {
+	now := r.now()
+	if !now.Before(r.nextLease) {
+		r.stepLease(ctx, now)
+	}
+	if r.Active() && !now.Before(r.nextSummary) {
+		r.nextSummary = now.Add(summaryInterval)
+		r.summarize(ctx, now)
+	}
+	r.exchange(now)
+}
+
+func (r *Relay) stepLease(ctx context.Context, now time.Time) {
+	if r.lease != 0 {
+		r.nextLease = now.Add(renewInterval)
+		r.renew(ctx, now)
+		return
+	}
+	r.nextLease = now.Add(competeInterval/2 + r.spread(competeInterval))
+	r.lastRank = r.rank()
+	if r.lastRank < relayCandidates {
+		r.compete(ctx, now)
+	}
+}
+
+// rank is the number of alive members of the zone that come before this one in the order of competition.
+func (r *Relay) rank() int {
+	self := r.members.Self()
+	rank := 0
+	for _, m := range r.members.Members() {
+		if m.Zone == self.Zone && m.Alive() && membership.Before(m.Address, self.Address) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// note records the success of a call, or reports its error.
+func (r *Relay) note(now time.Time, what string, err error) {
+	switch {
+	case err == nil, errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrLeaseLost):
+		r.mu.Lock()
+		r.lastOK = now
+		r.mu.Unlock()
+	default:
+		r.report(fmt.Errorf("%s: %w", what, err))
+	}
+}
+
+func (r *Relay) setLease(id platform.LeaseID, end time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lease, r.leaseEnd = id, end
+}
+
+func (r *Relay) renew(ctx context.Context, now time.Time) {
+	err := r.store.KeepAlive(ctx, r.lease)
+	r.note(now, "renew the relay lease", err)
+	switch {
+	case err == nil:
+		r.setLease(r.lease, now.Add(leaseTTL))
+	case errors.Is(err, platform.ErrLeaseLost):
+		r.setLease(0, time.Time{})
+		r.summaryRev, r.summaryHash = 0, 0
+	}
+}
+
+// compete takes a free lease of the zone, if there is one.
+func (r *Relay) compete(ctx context.Context, now time.Time) {
+	self := r.members.Self()
+	prefix := relaysPrefix + self.Zone + "/"
+	kvs, _, err := r.store.List(ctx, prefix)
+	r.note(now, "list the relay leases", err)
+	if err != nil {
+		return
+	}
+	taken := make(map[string]bool, len(kvs))
+	for _, kv := range kvs {
+		taken[kv.Key] = true
+	}
+	for i := range relaysPerZone {
+		key := fmt.Sprintf("%s%d", prefix, i)
+		if !taken[key] {
+			r.take(ctx, now, key, self.Address)
+			return
+		}
+	}
+}
+
+func (r *Relay) take(ctx context.Context, now time.Time, key, address string) {
+	id, err := r.store.Grant(ctx, leaseTTL)
+	r.note(now, "grant a relay lease", err)
+	if err != nil {
+		return
+	}
+	_, err = r.store.CompareAndSwap(ctx, key, 0, []byte(address), id)
+	r.note(now, "take a relay lease", err)
+	if err == nil {
+		r.setLease(id, now.Add(leaseTTL))
+		r.nextLease = now.Add(renewInterval)
+	}
+}
+
+func (r *Relay) summaryKey() string {
+	self := r.members.Self()
+	return zonesPrefix + self.Zone + "/" + self.Address
+}
+
+// summarize writes the zone's summary if it changed and no other relay of the zone has written the same.
+func (r *Relay) summarize(ctx context.Context, now time.Time) {
+	hash := r.members.ZoneHash(r.members.Self().Zone)
+	if hash == r.summaryHash || r.writtenByOther(hash) {
+		return
+	}
+	data, err := membership.Encode(r.members.Summary(now))
+	if err != nil {
+		r.report(fmt.Errorf("encode the zone's summary: %w", err))
+		return
+	}
+	spacing := time.Duration(len(data)) * time.Second / summaryRate
+	r.nextSummary = now.Add(max(summaryInterval, spacing) + r.spread(summaryInterval/2))
+	rev, err := r.store.CompareAndSwap(ctx, r.summaryKey(), r.summaryRev, data, r.lease)
+	r.note(now, "write the zone's summary", err)
+	switch {
+	case err == nil:
+		r.summaryRev, r.summaryHash = rev, hash
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnknown):
+		r.findSummary(ctx, now)
+	}
+}
+
+// findSummary looks up the revision of this relay's key, after which the summary is written again.
+func (r *Relay) findSummary(ctx context.Context, now time.Time) {
+	kv, err := r.store.Get(ctx, r.summaryKey())
+	if errors.Is(err, platform.ErrNotFound) {
+		kv, err = platform.KV{}, nil
+	}
+	r.note(now, "read the zone's summary", err)
+	if err == nil {
+		r.summaryRev = kv.Revision
+	}
+}
+
+func (r *Relay) writtenByOther(hash uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	own := r.summaryKey()
+	for key, h := range r.ownZone {
+		if key != own && h == hash {
+			return true
+		}
+	}
+	return false
+}
+
+// exchange compares tables directly with a member of another zone: seldom while the platform works, often when it is
+// down. In an outage the first candidates act without a lease.
+func (r *Relay) exchange(now time.Time) {
+	if now.Before(r.nextExchange) {
+		return
+	}
+	down := r.PlatformDown()
+	if !r.Active() && (!down || r.lastRank >= relaysPerZone) {
+		return
+	}
+	interval := exchangeInterval
+	if down {
+		interval = outageExchangeInterval
+	}
+	r.nextExchange = now.Add(interval/2 + r.spread(interval))
+	if to, ok := r.remoteMember(); ok {
+		r.members.SyncWith(now, to)
+	}
+}
+
+// remoteMember returns a random alive member of a random other zone.
+func (r *Relay) remoteMember() (string, bool) {
+	self := r.members.Self()
+	byZone := make(map[string][]string)
+	var zones []string
+	for _, m := range r.members.Members() {
+		if m.Zone == self.Zone || !m.Alive() {
+			continue
+		}
+		if byZone[m.Zone] == nil {
+			zones = append(zones, m.Zone)
+		}
+		byZone[m.Zone] = append(byZone[m.Zone], m.Address)
+	}
+	if len(zones) == 0 {
+		return "", false
+	}
+	addresses := byZone[zones[r.rng.IntN(len(zones))]]
+	return addresses[r.rng.IntN(len(addresses))], true
+}
+
+// WatchConfig reads the configuration and follows it until the context or the watch ends.
+func (r *Relay) WatchConfig(ctx context.Context) error {
+	return r.follow(ctx, ConfigKey, func(kv platform.KV) error {
+		if kv.Key != ConfigKey {
+			return nil
+		}
+		return r.configs.FromStore(kv)
+	})
+}
+
+// WatchZones reads the summaries of all zones and follows them until the context or the watch ends.
+func (r *Relay) WatchZones(ctx context.Context) error {
+	r.mu.Lock()
+	clear(r.ownZone)
+	r.mu.Unlock()
+	return r.follow(ctx, zonesPrefix, r.applySummary)
+}
+
+// follow lists a prefix and watches it from the revision of the list. Errors of apply are reported.
+func (r *Relay) follow(ctx context.Context, prefix string, apply func(platform.KV) error) error {
+	kvs, rev, err := r.store.List(ctx, prefix)
+	r.note(r.now(), "list "+prefix, err)
+	if err != nil {
+		return err
+	}
+	handle := func(kvs []platform.KV) error {
+		for _, kv := range kvs {
+			if err := apply(kv); err != nil {
+				r.report(fmt.Errorf("%s: %w", kv.Key, err))
+			}
+		}
+		return nil
+	}
+	_ = handle(kvs) // never fails
+	return r.store.Watch(ctx, prefix, rev+1, handle)
+}
+
+// applySummary merges another zone's summary, and remembers what this zone's other relays have written.
+func (r *Relay) applySummary(kv platform.KV) error {
+	self := r.members.Self()
+	own := strings.HasPrefix(kv.Key, zonesPrefix+self.Zone+"/")
+	if kv.Deleted {
+		r.mu.Lock()
+		delete(r.ownZone, kv.Key)
+		r.mu.Unlock()
+		return nil
+	}
+	m, err := membership.Decode(kv.Value)
+	if err != nil {
+		return err
+	}
+	if own {
+		r.mu.Lock()
+		r.ownZone[kv.Key] = membership.HashRecords(m.Records)
+		r.mu.Unlock()
+		return nil
+	}
+	r.members.Step(r.now(), m)
+	return nil
+}
+
+// Run steps the relay every interval and watches while it holds a lease, until the context ends.
+func (r *Relay) Run(ctx context.Context, interval time.Duration) {
+	var watches sync.WaitGroup
+	defer watches.Wait()
+	for _, watch := range []func(context.Context) error{r.WatchConfig, r.WatchZones} {
+		watches.Go(func() { r.keepWatching(ctx, watch) })
+	}
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.Step(ctx)
+		}
+	}
+}
+
+func (r *Relay) keepWatching(ctx context.Context, watch func(context.Context) error) {
+	for ctx.Err() == nil {
+		if r.Active() {
+			if err := watch(ctx); ctx.Err() == nil {
+				r.report(fmt.Errorf("watch: %w", err))
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchRetry):
+		}
+	}
+}
+
+// spread returns a random part of d.
+func (r *Relay) spread(d time.Duration) time.Duration {
+	return time.Duration(r.rng.Int64N(int64(d)))
+}
--- /dev/null
+++ b/internal/control/relay_test.go
@@ -0,0 +1,162 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/core/config"
+	"guavapoint.example/guavapoint/internal/core/membership"
+	"guavapoint.example/guavapoint/internal/platform"
+	"guavapoint.example/guavapoint/internal/standin/kvstore"
+)
+
+// listOnly ends watches at once: a test reads the list instead, whenever it wants.
+type listOnly struct{ platform.Store }
+
+func (listOnly) Watch(context.Context, string, int64, func([]platform.KV) error) error {
+	return platform.ErrUnavailable
+}
+
+type relayWorld struct {
+	now    time.Time
+	store  *kvstore.Store
+	nodes  map[string]*LockedNode
+	relays map[string]*Relay
+	order  []string
+}
+
+func newRelayWorld(t *testing.T, zones, size int) *relayWorld {
+	w := &relayWorld{now: time.Unix(1_800_000_000, 0), nodes: map[string]*LockedNode{}, relays: map[string]*Relay{}}
+	clock := func() time.Time { return w.now }
+	w.store = kvstore.New(clock, kvstore.Limits{Writes: 500, Reads: 2000})
+	server := httptest.NewServer(w.store)
+	t.Cleanup(server.Close)
+	client, err := platform.NewClient([]string{server.URL}, server.Client(), 5*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for z := range zones {
+		first := fmt.Sprintf("10.0.%d.0:7000", z)
+		for i := range size {
+			rng := rand.New(rand.NewPCG(uint64(z), uint64(i)))
+			self := membership.Record{
+				Address: fmt.Sprintf("10.0.%d.%d:7000", z, i), Zone: fmt.Sprintf("z%d", z), Service: "lookup",
+				Incarnation: call.Incarnation(i + 1), State: membership.StateServing,
+			}
+			node := NewLockedNode(membership.New(membership.Config{}, self, []string{first}, rng))
+			configs := NewConfigSync(config.NewHolder(), nil, clock, nil)
+			w.order = append(w.order, self.Address)
+			w.nodes[self.Address] = node
+			w.relays[self.Address] = NewRelay(listOnly{client}, node, configs, clock, rng, nil)
+		}
+	}
+	return w
+}
+
+// run lets time pass in steps of 250 ms; messages arrive in the next step.
+func (w *relayWorld) run(d time.Duration) {
+	ctx := context.Background()
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(250 * time.Millisecond) {
+		var sent []membership.Message
+		for _, a := range w.order {
+			node, relay := w.nodes[a], w.relays[a]
+			if node == nil {
+				continue
+			}
+			node.Tick(w.now)
+			relay.Step(ctx)
+			if relay.Active() {
+				_ = relay.WatchZones(ctx) // reads the list; the watch isn't available here
+			}
+			sent = append(sent, node.Ready().Messages...)
+		}
+		for _, m := range sent {
+			if node := w.nodes[m.To]; node != nil {
+				node.Step(w.now, m)
+			}
+		}
+	}
+}
+
+func (w *relayWorld) active(zone string) int {
+	n := 0
+	for _, a := range w.order {
+		if w.nodes[a] != nil && w.nodes[a].Self().Zone == zone && w.relays[a].Active() {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *relayWorld) wantState(t *testing.T, what, address string, want membership.State) {
+	t.Helper()
+	for _, a := range w.order {
+		if w.nodes[a] == nil {
+			continue
+		}
+		got := membership.StateDown
+		for _, r := range w.nodes[a].Members() {
+			if r.Address == address {
+				got = r.State
+			}
+		}
+		if got != want {
+			t.Errorf("%s: %s holds %s for %v, want %v", what, a, address, got, want)
+		}
+	}
+}
+
+// Guards against zones that don't learn of each other by the platform or, in an outage, directly; against a number of
+// relays other than 3; and against platform calls that grow.
+func TestRelaysConnectZones(t *testing.T) {
+	w := newRelayWorld(t, 2, 8)
+	w.run(60 * time.Second)
+	for _, zone := range []string{"z0", "z1"} {
+		if n := w.active(zone); n != relaysPerZone {
+			t.Errorf("zone %s has %d relays", zone, n)
+		}
+	}
+	w.wantState(t, "after the start", "10.0.1.3:7000", membership.StateServing)
+
+	before := w.store.Calls()
+	w.run(60 * time.Second)
+	after := w.store.Calls()
+	if n := after["/v3/lease/keepalive"] - before["/v3/lease/keepalive"]; n > 6*20 {
+		t.Errorf("%d renewals of 6 relays in 60 s", n)
+	}
+	if n := after["/v3/kv/txn"] - before["/v3/kv/txn"]; n != 0 {
+		t.Errorf("%d writes although nothing changed", n)
+	}
+
+	w.nodes["10.0.1.3:7000"].SetState(w.now, membership.StateLeaving)
+	w.run(20 * time.Second)
+	w.wantState(t, "by the platform", "10.0.1.3:7000", membership.StateLeaving)
+	if n := w.store.Calls()["/v3/kv/txn"] - after["/v3/kv/txn"]; n < 1 || n > 2 {
+		t.Errorf("%d writes for one change, want 1, or 2 when two relays notice it in the same step", n)
+	}
+
+	w.store.SetDown(true)
+	w.run(leaseTTL + time.Second) // no relay acts under a lease any more
+	w.nodes["10.0.0.5:7000"].SetState(w.now, membership.StateLeaving)
+	w.run(90 * time.Second)
+	w.wantState(t, "directly", "10.0.0.5:7000", membership.StateLeaving)
+	if n := w.active("z0"); n != 0 {
+		t.Errorf("%d relays trust a lease that ended in the outage", n)
+	}
+
+	w.store.SetDown(false)
+	for _, a := range w.order {
+		if w.nodes[a].Self().Zone == "z1" && w.relays[a].rank() < relaysPerZone {
+			delete(w.nodes, a)
+		}
+	}
+	w.run(60 * time.Second)
+	if n := w.active("z1"); n != relaysPerZone {
+		t.Errorf("after the loss of the first candidates the zone has %d relays", n)
+	}
+}
--- a/internal/core/config/config_test.go
+++ b/internal/core/config/config_test.go
@@ -36,15 +36,20 @@
 	return d
 }
 
-// Guards against a document that changes when it is written and read back.
+// Guards against a document that changes or becomes invalid when it is written and read back; empty lists once were
+// written as null.
 func TestEncodeParseRoundTrip(t *testing.T) {
-	d := mustParse(t, documentText)
-	b, err := d.Encode()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if diff := Diff(d, mustParse(t, string(b))); len(diff) != 0 {
-		t.Fatalf("round trip changed %v", diff)
+	empty := strings.Replace(documentText, `["lookup"]`, `[]`, 1)
+	empty = strings.Replace(empty, `"services": {`, `"services": {"other": {"operations": []}, `, 1)
+	for _, text := range []string{documentText, empty} {
+		d := mustParse(t, text)
+		b, err := d.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := Diff(d, mustParse(t, string(b))); len(diff) != 0 {
+			t.Fatalf("round trip changed %v", diff)
+		}
 	}
 }
 
--- a/internal/core/config/parse.go
+++ b/internal/core/config/parse.go
@@ -100,7 +100,7 @@
 		if !validName(name) {
 			r.add(path, describe(name), nameRule)
 		}
-		var s Service
+		s := Service{Operations: []Operation{}}
 		r.fields(path, v, field{"operations", func(path string, v any) {
 			r.list(path, v, func(path string, v any) { s.Operations = append(s.Operations, r.operation(path, v)) })
 		}})
@@ -131,7 +131,7 @@
 func (r *reader) batches(path string, v any, d *Document) {
 	d.Batches = []Batch{}
 	r.list(path, v, func(path string, v any) {
-		var b Batch
+		b := Batch{Services: []string{}}
 		r.fields(path, v,
 			field{"name", r.nameInto(&b.Name)},
 			field{"services", func(path string, v any) {
--- a/internal/core/membership/gossip.go
+++ b/internal/core/membership/gossip.go
@@ -77,7 +77,7 @@
 	if len(n.queue.byAddress) == 0 || n.rateLeft < 1 {
 		return
 	}
-	targets := n.acquaintances()
+	targets := n.Acquaintances()
 	n.rng.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
 	for _, to := range targets[:min(n.cfg.GossipFanout, len(targets))] {
 		rs := n.batch(min(gossipBatch, int(n.rateLeft)))
--- a/internal/core/membership/node.go
+++ b/internal/core/membership/node.go
@@ -135,6 +135,11 @@
 	return n.table.hash()
 }
 
+// ZoneHash returns a hash over the records of a zone that aren't down.
+func (n *Node) ZoneHash(zone string) uint64 {
+	return HashRecords(n.table.ofZone(zone))
+}
+
 // Ready returns the output since the last call and clears it.
 func (n *Node) Ready() Output {
 	out := n.out
@@ -154,7 +159,7 @@
 	if s != StateLeaving && s != StateDown {
 		return
 	}
-	for _, to := range n.acquaintances() {
+	for _, to := range n.Acquaintances() {
 		n.send(Message{Kind: KindGossip, To: to, Records: []Record{n.self}})
 	}
 }
@@ -343,8 +348,8 @@
 	}
 }
 
-// acquaintances returns the members that this node has connections to: neighbours and contacts.
-func (n *Node) acquaintances() []string {
+// Acquaintances returns the members that this node has connections to: neighbours and contacts.
+func (n *Node) Acquaintances() []string {
 	n.fillContacts()
 	r := n.currentRing()
 	all := slices.Clone(n.contacts)
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -145,6 +145,26 @@
 	return mix64(h.Sum64())
 }
 
+// HashRecords returns a hash over those of the records that aren't down, in any order.
+func HashRecords(rs []Record) uint64 {
+	var h uint64
+	for _, r := range rs {
+		if r.Alive() {
+			h ^= hashRecord(r)
+		}
+	}
+	return h
+}
+
+// Before reports whether an address comes before another in an order that is the same on all nodes and unrelated to
+// the addresses' own.
+func Before(a, b string) bool {
+	if x, y := ringHash(a), ringHash(b); x != y {
+		return x < y
+	}
+	return a < b
+}
+
 // mix64 is the finalizer of MurmurHash3; FNV alone leaves the top bits of similar addresses correlated.
 func mix64(x uint64) uint64 {
 	x ^= x >> 33
