--- a/internal/core/call/outcome.go
+++ b/internal/core/call/outcome.go
@@ -48,6 +48,7 @@
 	ReasonLinkBudget     Reason = "link-budget"      // only a remote region can serve, and the byte budget is spent
 	ReasonDepth          Reason = "depth"            // the call chain is deeper than MaxDepth
 	ReasonCanceled       Reason = "canceled"         // the caller went away before the request was dispatched
+	ReasonParentGone     Reason = "parent-gone"      // the request that a child call belongs to isn't running any more
 	ReasonBackendRefused Reason = "backend-refused"  // the connection to the backend server could not be opened
 )
 
--- /dev/null
+++ b/internal/daemon/admin.go
@@ -0,0 +1,181 @@
+package daemon
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"guavapoint.example/guavapoint/internal/core/admission"
+	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/core/config"
+	"guavapoint.example/guavapoint/internal/core/quarantine"
+)
+
+// State is the answer of GET /state on the admin listener.
+type State struct {
+	Name          string       `json:"name"`
+	Service       string       `json:"service"`
+	Region        string       `json:"region"`
+	Zone          string       `json:"zone"`
+	PeerAddress   string       `json:"peer_address"`
+	CallAddress   string       `json:"call_address"`
+	Incarnation   string       `json:"incarnation"`
+	State         string       `json:"state"`
+	ConfigVersion string       `json:"config_version"`
+	ActivePreset  string       `json:"active_preset"`
+	Load          LoadState    `json:"load"`
+	Members       []Member     `json:"members"`
+	Quarantine    []Quarantine `json:"quarantine"`
+}
+
+// LoadState is the admission state of a daemon.
+type LoadState struct {
+	Limit    int       `json:"limit"`
+	InFlight int       `json:"in_flight"`
+	Waiting  int       `json:"waiting"`
+	Cutoff   call.Rank `json:"cutoff"`
+	// CutoffClass is the class of the cutoff; requests of lower classes are refused. It is empty without overload.
+	CutoffClass string `json:"cutoff_class,omitempty"`
+}
+
+// Member is one daemon in the membership table.
+type Member struct {
+	Address     string `json:"address"`
+	CallAddress string `json:"call_address"`
+	Service     string `json:"service"`
+	Region      string `json:"region"`
+	Zone        string `json:"zone"`
+	State       string `json:"state"`
+	Slots       int    `json:"slots"`
+}
+
+// Quarantine is one suspect or confirmed fingerprint.
+type Quarantine struct {
+	Fingerprint string    `json:"fingerprint"`
+	State       string    `json:"state"`
+	Until       time.Time `json:"until"`
+}
+
+// adminRouter returns the handler of the admin listener.
+func (d *Daemon) adminRouter() http.Handler {
+	r := mux.NewRouter()
+	r.Handle("/metrics", d.telemetry.Handler()).Methods(http.MethodGet)
+	r.HandleFunc("/state", d.serveState).Methods(http.MethodGet)
+	r.HandleFunc("/config", d.serveConfig).Methods(http.MethodGet)
+	r.HandleFunc("/drain", d.serveDrain).Methods(http.MethodPost)
+	r.HandleFunc("/quarantine/{fingerprint}", d.serveLift).Methods(http.MethodDelete)
+	return r
+}
+
+func (d *Daemon) serveState(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, d.State())
+}
+
+// Config is the answer of GET /config on the admin listener.
+type Config struct {
+	Epoch    uint64           `json:"epoch"`
+	Revision uint64           `json:"revision"`
+	Document *config.Document `json:"document,omitempty"`
+}
+
+// serveConfig returns the configuration in effect, by which the operator's command notices a platform that was
+// restored from an older copy.
+func (d *Daemon) serveConfig(w http.ResponseWriter, _ *http.Request) {
+	v, doc := d.config.Current()
+	writeJSON(w, http.StatusOK, Config{Epoch: v.Epoch, Revision: v.Revision, Document: doc})
+}
+
+// serveDrain starts a graceful shutdown, as SIGTERM does.
+func (d *Daemon) serveDrain(w http.ResponseWriter, _ *http.Request) {
+	d.Drain()
+	writeJSON(w, http.StatusAccepted, struct {
+		State string `json:"state"`
+	}{"leaving"})
+}
+
+// serveLift ends the quarantine of a fingerprint, named by its first 8 bytes as State shows it.
+func (d *Daemon) serveLift(w http.ResponseWriter, r *http.Request) {
+	name := mux.Vars(r)["fingerprint"]
+	for _, rec := range d.suspects.records() {
+		if rec.Fingerprint.String() == name && d.suspects.lift(rec.Fingerprint) {
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+	}
+	writeError(w, &requestError{http.StatusNotFound, "unknown-fingerprint", "no such fingerprint is quarantined"})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the operator may be gone
+}
+
+// State returns what an operator sees of this daemon.
+func (d *Daemon) State() State {
+	version, doc := d.config.Current()
+	s := State{
+		Name:          d.settings.Name,
+		Service:       d.settings.Service,
+		Region:        d.settings.Region,
+		Zone:          d.settings.Zone,
+		PeerAddress:   d.settings.PeerAddress,
+		CallAddress:   d.settings.CallAddress,
+		Incarnation:   formatIncarnation(d.incarnation),
+		State:         d.memberState().String(),
+		ConfigVersion: version.String(),
+		Load:          loadState(d.gate.load(), d.gate.cutoff()),
+		Members:       d.memberList(),
+		Quarantine:    quarantineList(d.suspects.records(), d.now()),
+	}
+	if doc != nil {
+		s.ActivePreset = doc.Active
+	}
+	return s
+}
+
+func loadState(l admission.Load, cutoff call.Rank) LoadState {
+	s := LoadState{Limit: l.Limit, InFlight: l.InFlight, Waiting: l.Waiting, Cutoff: cutoff}
+	if cutoff > 0 {
+		s.CutoffClass = cutoff.Class().String()
+	}
+	return s
+}
+
+func (d *Daemon) memberList() []Member {
+	records := d.members.records()
+	list := make([]Member, 0, len(records))
+	for _, r := range records {
+		list = append(list, Member{
+			Address:     r.Address,
+			CallAddress: r.CallAddress,
+			Service:     r.Service,
+			Region:      r.Region,
+			Zone:        r.Zone,
+			State:       r.State.String(),
+			Slots:       r.Slots,
+		})
+	}
+	slices.SortFunc(list, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Zone, b.Zone),
+			cmp.Compare(a.Service, b.Service), cmp.Compare(a.Address, b.Address))
+	})
+	return list
+}
+
+func quarantineList(records []quarantine.Record, now time.Time) []Quarantine {
+	list := make([]Quarantine, 0, len(records))
+	for _, r := range records {
+		switch state := r.StateAt(now); state {
+		case quarantine.Suspect:
+			list = append(list, Quarantine{r.Fingerprint.String(), state.String(), r.SuspectUntil})
+		case quarantine.Confirmed:
+			list = append(list, Quarantine{r.Fingerprint.String(), state.String(), r.ConfirmedUntil})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/daemon/bound.go
@@ -0,0 +1,105 @@
+package daemon
+
+import (
+	"context"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/core/routing"
+	"guavapoint.example/guavapoint/internal/wire"
+)
+
+// maxTokenAttempts bounds the upstreams that are asked for a token. A token request runs nothing, so it doesn't count as
+// a retry of the request.
+const maxTokenAttempts = 3
+
+// requestToken obtains a token for a non-idempotent request. The caller gets it with the status 428 and spends it in its
+// second call.
+func (d *dispatcher) requestToken(ctx context.Context, req *request) *result {
+	service := d.services.get(req.service)
+	last := notRun(call.ReasonNoUpstream)
+	var tried []string
+	for range maxTokenAttempts {
+		target, err := service.pick(d.now(), routing.Query{Rank: req.rank, Exclude: tried})
+		if err != nil {
+			return worse(last, notRun(pickReason(err)))
+		}
+		tried = append(tried, target.Address)
+		grant := d.askToken(ctx, req, service, target)
+		if grant.Token != "" {
+			return &result{outcome: call.OutcomeNotRun, reason: call.ReasonTokenRequired, upstream: target.Address,
+				header: []wire.Header{{Name: headerToken, Values: []string{grant.Token}}}}
+		}
+		last = notRun(grant.Reason)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return last
+}
+
+// askToken asks one upstream's daemon. A grant without a token carries the reason.
+func (d *dispatcher) askToken(ctx context.Context, req *request, s *service, target routing.Candidate) *wire.TokenGrant {
+	started := d.now()
+	grant := &wire.TokenGrant{Reason: call.ReasonNoUpstream}
+	reply, err := d.peers.Request(ctx, target.Address, &wire.Control{
+		From:         d.self,
+		TokenRequest: &wire.TokenRequest{Service: req.service, Rank: req.rank},
+	})
+	if err == nil && reply.TokenGrant != nil {
+		grant = reply.TokenGrant
+		d.seen(target.Address, reply.Config)
+	}
+	r := routing.Result{Latency: d.now().Sub(started), Outcome: call.OutcomeNotRun, Reason: grant.Reason, Cutoff: grant.Cutoff}
+	if grant.Token != "" {
+		r.Outcome = call.OutcomeAnswered
+	}
+	s.done(d.now(), target.Address, r)
+	return grant
+}
+
+// callBound dispatches a request to the incarnation that its token names, and nowhere else. Sending it again is
+// safe, because the incarnation runs a token at most once. Until the incarnation says otherwise the outcome is
+// unknown: the caller may have sent the same token earlier through another entry.
+func (d *dispatcher) callBound(ctx context.Context, req *request, fields []wire.Header, body *requestBody) *result {
+	if !d.services.known(req.service, req.token.Upstream) {
+		return unknown(call.ReasonIncarnationGone)
+	}
+	service := d.services.get(req.service)
+	target := routing.Candidate{Address: req.token.Upstream, Incarnation: req.token.Incarnation}
+	for n := 1; ; n++ {
+		a := d.send(ctx, req, target, fields, body, func(routing.Result) {})
+		if a.outcome == call.OutcomeAnswered || !lost(a) {
+			return a.result
+		}
+		if !d.allowRetry(ctx, req, service, body, n) {
+			return d.resolve(ctx, req, a)
+		}
+	}
+}
+
+// lost reports whether the answer to an attempt is missing, so that the outcome has to be asked for.
+func lost(a attempt) bool {
+	return !a.sent || a.reason == call.ReasonConnectionLost || a.reason == call.ReasonTruncated || a.reason == call.ReasonTimeout
+}
+
+// resolve asks the token's incarnation for the outcome.
+func (d *dispatcher) resolve(ctx context.Context, req *request, a attempt) *result {
+	reply, err := d.peers.Request(ctx, req.token.Upstream, &wire.Control{
+		From:           d.self,
+		ResolveRequest: &wire.ResolveRequest{Token: req.tokenRaw},
+	})
+	if err != nil || reply.ResolveAnswer == nil {
+		return unknown(lostReason(a))
+	}
+	r := reply.ResolveAnswer
+	return &result{outcome: r.Outcome, reason: r.Reason, upstream: req.token.Upstream, status: r.Status, header: r.Header,
+		length: int64(len(r.Body)), start: r.Body, body: noBody}
+}
+
+// lostReason keeps a reason that says "may have run".
+func lostReason(a attempt) call.Reason {
+	if a.outcome == call.OutcomeUnknown {
+		return a.reason
+	}
+	return call.ReasonConnectionLost
+}
--- /dev/null
+++ b/internal/daemon/configsync.go
@@ -0,0 +1,150 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"guavapoint.example/guavapoint/internal/control"
+	"guavapoint.example/guavapoint/internal/core/config"
+	"guavapoint.example/guavapoint/internal/core/routing"
+	"guavapoint.example/guavapoint/internal/events"
+	"guavapoint.example/guavapoint/internal/platform"
+	"guavapoint.example/guavapoint/internal/wire"
+)
+
+const (
+	// syncInterval is the interval at which the daemon looks for peers with a higher configuration version. It is small
+	// against the 4 s in which a change must be in effect everywhere, over about six hops.
+	syncInterval = 100 * time.Millisecond
+	// relayInterval is the interval at which a relay does what is due.
+	relayInterval = 250 * time.Millisecond
+	// contractInterval is the interval at which contracts are checked for warnings, which are due on whole days.
+	contractInterval = time.Minute
+)
+
+// errNoDocument reports a pull from a daemon that has no configuration yet.
+var errNoDocument = errors.New("no configuration document")
+
+// buildConfig creates what brings configurations to this daemon, and the relay where the settings name a platform.
+func (d *Daemon) buildConfig(rng *rand.Rand) error {
+	d.sync = control.NewConfigSync(d.config, d, d.now, d.configChanged)
+	if len(d.settings.Platform.URLs) == 0 {
+		return nil
+	}
+	store, err := platform.NewClient(d.settings.Platform.URLs, &http.Client{}, 0)
+	if err != nil {
+		return eris.Wrap(err, "platform")
+	}
+	d.relay = control.NewRelay(store, d.members.node, d.sync, d.now, rng, d.reportControl)
+	return nil
+}
+
+// reportControl logs an error from which the relay recovers by itself.
+func (d *Daemon) reportControl(err error) {
+	v, _ := d.config.Current()
+	switch {
+	case errors.Is(err, control.ErrStoreBehind):
+		d.log.Log(events.ConfigStoreOlder, nil, nil, v.Epoch, v.Revision)
+	case errors.Is(err, control.ErrBadDocument):
+		d.log.Log(events.ConfigInvalid, nil, nil, "platform", err.Error())
+	case errors.Is(err, platform.ErrUnknown):
+		d.log.Log(events.PlatformUnknown, nil, err.Error())
+	default:
+		d.log.Log(events.PlatformUnavailable, nil, err.Error())
+	}
+}
+
+// configChanged puts a new configuration into effect and tells the acquaintances, which then pull it.
+func (d *Daemon) configChanged(v config.Version, doc *config.Document) {
+	d.gate.setConfig(d.admissionConfig(doc))
+	p := doc.ActivePreset()
+	d.link.SetConfig(d.now(), routing.LinkConfig{BytesPerSecond: p.LinkBytesPerSecond, UploadShare: p.LinkUploadShare})
+	d.services.setRatio(p.RetryRatio)
+	d.log.Log(events.ConfigInEffect, v.Epoch, v.Revision, doc.ChangeID, doc.ChangedBy, nil)
+	for _, address := range d.members.node.Acquaintances() {
+		go d.sendControl(address, &wire.Control{Ping: &wire.Ping{Number: v.Revision}})
+	}
+}
+
+// seen notes the configuration version that a message of a peer carried.
+func (d *Daemon) seen(address string, v wire.ConfigVersion) {
+	if address != "" {
+		d.sync.Heard(address, v)
+	}
+}
+
+// PullConfig implements control.Puller.
+func (d *Daemon) PullConfig(ctx context.Context, address string) (*wire.ConfigDocument, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	m := &wire.Control{ConfigPull: &wire.ConfigPull{}}
+	d.stamp(m)
+	reply, err := d.transport.Request(ctx, address, m)
+	if err != nil {
+		return nil, err
+	}
+	if reply.ConfigDocument == nil {
+		return nil, errNoDocument
+	}
+	return reply.ConfigDocument, nil
+}
+
+// configDocument answers a pull.
+func (d *Daemon) configDocument() (*wire.Control, error) {
+	doc, err := d.sync.Document()
+	if err != nil {
+		return nil, err
+	}
+	if doc == nil {
+		return nil, errNoDocument
+	}
+	return &wire.Control{ConfigDocument: doc}, nil
+}
+
+// runSync pulls configurations until the context ends.
+func (d *Daemon) runSync(ctx context.Context) {
+	ticker := time.NewTicker(syncInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			if err := d.sync.Step(ctx); err != nil && ctx.Err() == nil {
+				d.log.Log(events.ConfigPullFailed, nil, nil, nil, err.Error())
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// runContracts logs the warnings before contracts expire.
+func (d *Daemon) runContracts(ctx context.Context) {
+	last := time.Time{}
+	for {
+		now := d.now()
+		if _, doc := d.config.Current(); doc != nil {
+			for _, w := range doc.Warnings(last, now) {
+				d.logContract(w, now)
+			}
+			last = now
+		}
+		select {
+		case <-time.After(contractInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (d *Daemon) logContract(w config.Warning, now time.Time) {
+	if w.Contract.Expired(now) {
+		d.log.Log(events.ContractExpired, w.Batch, w.Contract.Number, w.Contract.Expires.String(), nil)
+		return
+	}
+	d.log.Log(events.ContractExpiring, w.Batch, w.Contract.Number, w.Contract.Expires.String(), w.DaysLeft)
+}
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,139 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/core/outcome"
+	"guavapoint.example/guavapoint/internal/core/quarantine"
+	"guavapoint.example/guavapoint/internal/transport"
+	"guavapoint.example/guavapoint/internal/wire"
+)
+
+// errUnsupported reports a control message that this daemon can't serve.
+var errUnsupported = errors.New("unsupported control message")
+
+// ServeCall implements transport.Handler.
+func (d *Daemon) ServeCall(s *transport.CallStream) {
+	<-d.ready
+	d.seen(s.Header().From, s.Header().Config)
+	d.upstream.serveCall(s)
+}
+
+// ServeControl implements transport.Handler.
+func (d *Daemon) ServeControl(ctx context.Context, _ string, m *wire.Control) (*wire.Control, error) {
+	<-d.ready
+	d.seen(m.From, m.Config)
+	reply, err := d.serveControl(ctx, m)
+	if reply != nil {
+		d.stamp(reply)
+	}
+	return reply, err
+}
+
+func (d *Daemon) serveControl(ctx context.Context, m *wire.Control) (*wire.Control, error) {
+	switch {
+	case m.TokenRequest != nil:
+		return &wire.Control{TokenGrant: d.upstream.grantToken(m.TokenRequest)}, nil
+	case m.ResolveRequest != nil:
+		return &wire.Control{ResolveAnswer: d.upstream.resolveToken(m.ResolveRequest)}, nil
+	case m.Membership != nil:
+		return nil, d.members.step(m.Membership.Payload)
+	case m.Ping != nil:
+		return nil, nil // announces a configuration version, which seen has noted
+	case m.ConfigPull != nil:
+		return d.configDocument()
+	case m.Quarantine != nil:
+		return nil, d.mergeQuarantine(m.Quarantine.Payload)
+	default:
+		return nil, errUnsupported
+	}
+}
+
+// stamp fills in what every control message carries.
+func (d *Daemon) stamp(m *wire.Control) {
+	v, _ := d.config.Current()
+	m.From = d.settings.PeerAddress
+	m.Config = wire.ConfigVersion{Epoch: v.Epoch, Revision: v.Revision}
+}
+
+// grantToken issues a token, unless the request would be refused anyway.
+func (u *upstream) grantToken(r *wire.TokenRequest) *wire.TokenGrant {
+	cutoff := u.gate.cutoff()
+	refuse := func(reason call.Reason) *wire.TokenGrant {
+		return &wire.TokenGrant{Reason: reason, Cutoff: cutoff}
+	}
+	switch {
+	case r.Service != u.service:
+		return refuse(call.ReasonWrongUpstream)
+	case u.drain.draining():
+		return refuse(call.ReasonLeaving)
+	case r.Rank < cutoff:
+		return refuse(call.ReasonOverload)
+	}
+	tok, err := u.tokens.issue(u.service, u.self)
+	if err != nil {
+		return refuse(call.ReasonTableFull)
+	}
+	return &wire.TokenGrant{Token: tok.String(), Cutoff: cutoff}
+}
+
+// resolveToken tells the outcome of a token. A token that was not spent becomes refused.
+func (u *upstream) resolveToken(r *wire.ResolveRequest) *wire.ResolveAnswer {
+	tok, err := call.ParseToken(r.Token)
+	if err != nil || tok.Upstream != u.self {
+		return &wire.ResolveAnswer{Outcome: call.OutcomeUnknown, Reason: call.ReasonIncarnationGone}
+	}
+	status, answer, err := u.tokens.resolve(tok)
+	if err == nil && status == outcome.Running {
+		return &wire.ResolveAnswer{Outcome: call.OutcomeUnknown, Reason: call.ReasonStillRunning}
+	}
+	res := settled(status, answer, err)
+	return &wire.ResolveAnswer{Outcome: res.outcome, Reason: res.reason, Status: res.status, Header: res.header, Body: res.start}
+}
+
+// quarantineRecords is the payload of a wire.Quarantine message.
+type quarantineRecords struct {
+	Records []quarantine.Record `cbor:"1,keyasint"`
+}
+
+// maxQuarantineRecords bounds the records of one message, so that it stays below the limit of a control message.
+const maxQuarantineRecords = 4096
+
+// spreadQuarantine sends records to the other daemons of the service.
+func (d *Daemon) spreadQuarantine(records []quarantine.Record) {
+	for start := 0; start < len(records); start += maxQuarantineRecords {
+		part := records[start:min(start+maxQuarantineRecords, len(records))]
+		payload, err := cbor.Marshal(quarantineRecords{part})
+		if err != nil {
+			return // the records hold no types that can't be encoded
+		}
+		for _, address := range d.members.ofService(d.settings.Service, d.settings.PeerAddress) {
+			go d.sendControl(address, &wire.Control{Quarantine: &wire.Quarantine{Payload: payload}})
+		}
+	}
+}
+
+func (d *Daemon) mergeQuarantine(payload []byte) error {
+	var q quarantineRecords
+	if err := cbor.Unmarshal(payload, &q); err != nil {
+		return err
+	}
+	d.suspects.merge(q.Records)
+	return nil
+}
+
+// sendControl sends a message; a failure is left to the sender's protocol.
+func (d *Daemon) sendControl(address string, m *wire.Control) {
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+	d.stamp(m)
+	_ = d.transport.Send(ctx, address, m)
+}
+
+// tickInterval is the interval at which tables forget what has expired.
+const tickInterval = time.Second
--- /dev/null
+++ b/internal/daemon/dispatch.go
@@ -0,0 +1,261 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/core/config"
+	"guavapoint.example/guavapoint/internal/core/retry"
+	"guavapoint.example/guavapoint/internal/core/routing"
+	"guavapoint.example/guavapoint/internal/transport"
+	"guavapoint.example/guavapoint/internal/wire"
+)
+
+// readAhead is the part of an answer that is read before anything is written to the caller, in bytes. An answer that
+// breaks off within it can still be replaced by a retry or reported with a status code.
+const readAhead = 64 << 10
+
+// peers sends calls and control messages to other daemons.
+type peers interface {
+	Call(ctx context.Context, address string, h *wire.CallHeader, body io.Reader) (*transport.Answer, error)
+	Request(ctx context.Context, address string, m *wire.Control) (*wire.Control, error)
+}
+
+// dispatcher chooses upstreams, sends calls and repeats them within the retry budget. It is safe for concurrent use.
+type dispatcher struct {
+	self     string // peer address of this daemon
+	peers    peers
+	config   *config.Holder
+	report   *reporter
+	services *serviceTable
+	// seen is told the configuration version of each peer that answers.
+	seen func(address string, v wire.ConfigVersion)
+	now  func() time.Time
+
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+// attempt is the result of sending a call once.
+type attempt struct {
+	*result
+	sent  bool // the call may have reached the upstream
+	retry bool // another attempt may succeed
+}
+
+// call dispatches an idempotent request and repeats it where that is allowed.
+func (d *dispatcher) call(ctx context.Context, req *request, fields []wire.Header, body *requestBody) *result {
+	service := d.services.get(req.service)
+	service.first(d.now())
+	var last *result
+	var tried []string
+	for n := 1; ; n++ {
+		target, err := service.pick(d.now(), d.query(req, body, tried))
+		if errors.Is(err, routing.ErrNoUpstream) && mayTryAgain(last) {
+			target, err = service.pick(d.now(), d.query(req, body, nil))
+		}
+		if err != nil {
+			return worse(last, notRun(pickReason(err)))
+		}
+		tried = append(tried, target.Address)
+		a := d.send(ctx, req, target, fields, body, func(r routing.Result) {
+			service.done(d.now(), target.Address, r)
+		})
+		last = worse(last, a.result)
+		if !a.retry || !d.allowRetry(ctx, req, service, body, n) {
+			return last
+		}
+	}
+}
+
+// mayTryAgain reports whether an upstream that was tried before is worth another attempt when no other is left. A
+// connection that broke says little about the upstream; a refusal does.
+func mayTryAgain(last *result) bool {
+	return last != nil && last.outcome == call.OutcomeUnknown
+}
+
+func (d *dispatcher) query(req *request, body *requestBody, tried []string) routing.Query {
+	return routing.Query{Rank: req.rank, Bytes: max(body.length, 0), Upload: req.op.Upload, Exclude: tried}
+}
+
+// pickReason translates an error of the picker.
+func pickReason(err error) call.Reason {
+	switch {
+	case errors.Is(err, routing.ErrBelowCutoff):
+		return call.ReasonOverload
+	case errors.Is(err, routing.ErrLinkBudget):
+		return call.ReasonLinkBudget
+	default:
+		return call.ReasonNoUpstream
+	}
+}
+
+// allowRetry takes a retry from the service's ratio and the request's account, and waits for the backoff.
+func (d *dispatcher) allowRetry(ctx context.Context, req *request, s *service, body *requestBody, attempt int) bool {
+	if ctx.Err() != nil || !body.replayable() {
+		return false
+	}
+	if req.account.Left() == 0 {
+		return false
+	}
+	if !s.allowRetry(d.now()) {
+		d.report.retriesExhausted(req.service)
+		return false
+	}
+	if !req.account.Spend() {
+		return false
+	}
+	d.report.retried(req.service)
+	started := d.now()
+	defer func() { req.waited += d.now().Sub(started) }()
+	return d.backoff(ctx, attempt)
+}
+
+// backoff waits before the next attempt. It returns false when the context ends first.
+func (d *dispatcher) backoff(ctx context.Context, attempt int) bool {
+	d.mu.Lock()
+	wait := retry.Backoff(attempt, d.rng)
+	d.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// send sends a call once and interprets what comes back. It calls report once.
+func (d *dispatcher) send(ctx context.Context, req *request, target routing.Candidate, fields []wire.Header,
+	body *requestBody, report func(routing.Result)) attempt {
+	reader, ok := body.reader()
+	if !ok {
+		report(routing.Result{Outcome: call.OutcomeNotRun, Reason: call.ReasonCanceled})
+		return attempt{result: notRun(call.ReasonCanceled)}
+	}
+	started := d.now()
+	granted := req.account.Grant()
+	header := d.header(req, target.Incarnation, fields, body)
+	header.Retries = granted
+	answer, err := d.peers.Call(ctx, target.Address, header, reader)
+	req.waited += d.now().Sub(started)
+	if err != nil {
+		a := failedAttempt(ctx, err)
+		if !a.sent {
+			req.account.Return(granted)
+		}
+		report(routing.Result{Latency: d.now().Sub(started), Outcome: a.outcome, Reason: a.reason})
+		return a
+	}
+	d.seen(target.Address, answer.Header.Config)
+	return d.answered(req, target.Address, d.now().Sub(started), answer, granted, report)
+}
+
+// header builds the message for one attempt.
+func (d *dispatcher) header(req *request, incarnation call.Incarnation, fields []wire.Header,
+	body *requestBody) *wire.CallHeader {
+	v, _ := d.config.Current()
+	return &wire.CallHeader{
+		RootID:      req.rootID,
+		Rank:        req.rank,
+		Depth:       req.depth,
+		Timeout:     req.deadline.Sub(d.now()),
+		Service:     req.service,
+		Incarnation: incarnation,
+		Token:       req.tokenRaw,
+		Method:      req.op.Method,
+		Path:        req.path,
+		Header:      fields,
+		BodyLength:  body.length,
+		TraceParent: req.span.TraceParent(),
+		Config:      wire.ConfigVersion{Epoch: v.Epoch, Revision: v.Revision},
+		From:        d.self,
+	}
+}
+
+// failedAttempt interprets an error of the transport.
+func failedAttempt(ctx context.Context, err error) attempt {
+	var notSent *transport.NotSentError
+	if errors.As(err, &notSent) {
+		if ctx.Err() != nil {
+			return attempt{result: notRun(endReason(ctx))}
+		}
+		return attempt{result: notRun(call.ReasonNoUpstream), retry: true}
+	}
+	if ctx.Err() != nil {
+		return attempt{result: unknown(call.ReasonTimeout), sent: true}
+	}
+	return attempt{result: unknown(call.ReasonConnectionLost), sent: true, retry: true}
+}
+
+// endReason says why a context ended before anything was sent.
+func endReason(ctx context.Context) call.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return call.ReasonDeadline
+	}
+	return call.ReasonCanceled
+}
+
+// answered interprets an answer header, and reads the start of the body where there is one.
+func (d *dispatcher) answered(req *request, address string, took time.Duration, answer *transport.Answer, granted int,
+	report func(routing.Result)) attempt {
+	h := &answer.Header
+	r := routing.Result{Latency: took, Outcome: h.Outcome, Reason: h.Reason, Cutoff: h.Cutoff, Bytes: max(h.BodyLength, 0)}
+	if h.Outcome != call.OutcomeAnswered {
+		answer.Body.Close()
+		req.account.Return(min(h.Unspent, granted))
+		report(r)
+		res := &result{outcome: h.Outcome, reason: h.Reason, upstream: address, header: h.Header}
+		return attempt{result: res, sent: true, retry: worthRetry(h.Outcome, h.Reason)}
+	}
+	start, err := readStart(answer.Body)
+	if err != nil && err != io.EOF {
+		answer.Body.Close()
+		r.Outcome, r.Reason = call.OutcomeUnknown, call.ReasonTruncated
+		report(r)
+		return attempt{result: unknown(call.ReasonTruncated), sent: true, retry: true}
+	}
+	report(r)
+	res := &result{outcome: h.Outcome, upstream: address, status: h.Status, header: h.Header, length: h.BodyLength,
+		start: start, body: answer.Body}
+	res.finished = func(whole bool) {
+		if whole {
+			req.account.Return(min(answer.Unspent(), granted))
+		}
+	}
+	return attempt{result: res, sent: true}
+}
+
+// worthRetry reports whether another upstream may answer an idempotent request.
+func worthRetry(o call.Outcome, r call.Reason) bool {
+	switch r {
+	case call.ReasonOverload, call.ReasonLeaving, call.ReasonWrongUpstream, call.ReasonBackendRefused:
+		return o == call.OutcomeNotRun
+	case call.ReasonConnectionLost, call.ReasonBackendCrashed, call.ReasonTruncated:
+		return o == call.OutcomeUnknown
+	default:
+		return false
+	}
+}
+
+// readStart reads up to readAhead bytes. The error is io.EOF when the body ended within them.
+func readStart(r io.Reader) ([]byte, error) {
+	buf := make([]byte, 0, 512)
+	for len(buf) < readAhead {
+		if len(buf) == cap(buf) {
+			buf = append(buf, 0)[:len(buf)]
+		}
+		n, err := r.Read(buf[len(buf):min(cap(buf), readAhead)])
+		buf = buf[:len(buf)+n]
+		if err != nil {
+			return buf, err
+		}
+	}
+	return buf, nil
+}
--- /dev/null
+++ b/internal/daemon/drainstate.go
@@ -0,0 +1,64 @@
+package daemon
+
+import (
+	"sync"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/drain"
+)
+
+// drainState is a drain.Machine that is safe for concurrent use.
+type drainState struct {
+	mu      sync.Mutex
+	machine *drain.Machine
+	begun   bool
+}
+
+func newDrainState(limit time.Duration) *drainState {
+	return &drainState{machine: drain.New(limit)}
+}
+
+// enter admits new work. It returns false once the drain has begun.
+func (d *drainState) enter() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machine.Enter()
+}
+
+// leave ends work that enter has admitted.
+func (d *drainState) leave() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.machine.Leave()
+}
+
+// begin starts the drain.
+func (d *drainState) begin(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.begun {
+		d.begun = true
+		d.machine.Begin(now)
+	}
+}
+
+// draining reports whether the drain has begun.
+func (d *drainState) draining() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.begun
+}
+
+// done reports whether the daemon can exit.
+func (d *drainState) done(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.begun && d.machine.Done(now)
+}
+
+// inFlight returns the number of requests in flight.
+func (d *drainState) inFlight() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machine.InFlight()
+}
--- /dev/null
+++ b/internal/daemon/headers.go
@@ -0,0 +1,87 @@
+package daemon
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"guavapoint.example/guavapoint/internal/wire"
+)
+
+// Header names of the HTTP interface for callers and backend servers.
+const (
+	headerPrefix     = "Guavapoint-"
+	headerImportance = "Guavapoint-Importance"
+	headerTimeout    = "Guavapoint-Timeout"
+	headerRequestID  = "Guavapoint-Request-Id"
+	headerToken      = "Guavapoint-Token"
+	headerContext    = "Guavapoint-Context"
+	headerOutcome    = "Guavapoint-Outcome"
+	headerReason     = "Guavapoint-Reason"
+	headerUpstream   = "Guavapoint-Upstream"
+	headerVersion    = "Guavapoint-Config-Version"
+	headerTrace      = "Traceparent"
+)
+
+// Headers that belong to one connection (RFC 9110, section 7.6.1) and must not be forwarded.
+var connectionHeaders = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Expect":              true,
+}
+
+// forwardedHeaders returns the header fields that pass from hop to hop: all but those of the connection, those that
+// guavapoint itself sets, and the length, which travels in the message header.
+func forwardedHeaders(h http.Header) []wire.Header {
+	named := connectionNamed(h)
+	fields := make([]wire.Header, 0, len(h))
+	for name, values := range h {
+		if !forwarded(name) || named[name] {
+			continue
+		}
+		fields = append(fields, wire.Header{Name: name, Values: values})
+	}
+	return fields
+}
+
+func forwarded(name string) bool {
+	switch {
+	case connectionHeaders[name], strings.HasPrefix(name, headerPrefix):
+		return false
+	case name == headerTrace, name == "Content-Length":
+		return false
+	default:
+		return true
+	}
+}
+
+// connectionNamed returns the fields that the Connection header declares as belonging to this connection.
+func connectionNamed(h http.Header) map[string]bool {
+	var named map[string]bool
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			if named == nil {
+				named = make(map[string]bool)
+			}
+			named[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	return named
+}
+
+// applyHeaders sets the forwarded fields on an outgoing header.
+func applyHeaders(dst http.Header, fields []wire.Header) {
+	for _, f := range fields {
+		name := textproto.CanonicalMIMEHeaderKey(f.Name)
+		if forwarded(name) {
+			dst[name] = f.Values
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/hops.go
@@ -0,0 +1,107 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/core/retry"
+)
+
+// hop is a request that the backend server is running. Its child calls pass through the same daemon and inherit
+// rank, deadline and retry account from it.
+type hop struct {
+	id       uint64
+	rootID   string
+	rank     call.Rank
+	depth    int
+	deadline time.Time
+	account  *retry.Account
+	ctx      context.Context // ends with the request
+
+	mu         sync.Mutex
+	children   int
+	childSince time.Time
+	childTime  time.Duration
+}
+
+// childStarted notes that a child call is under way.
+func (h *hop) childStarted(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.children == 0 {
+		h.childSince = now
+	}
+	h.children++
+}
+
+// childEnded notes the end of a child call.
+func (h *hop) childEnded(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.children--
+	if h.children == 0 {
+		h.childTime += now.Sub(h.childSince)
+	}
+}
+
+// waitedForChildren returns the time in which at least one child call was under way.
+func (h *hop) waitedForChildren(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.children > 0 {
+		return h.childTime + now.Sub(h.childSince)
+	}
+	return h.childTime
+}
+
+// hopTable holds the running requests of this daemon. It is safe for concurrent use.
+type hopTable struct {
+	incarnation call.Incarnation
+
+	mu   sync.Mutex
+	next uint64
+	hops map[uint64]*hop
+}
+
+func newHopTable(self call.Incarnation) *hopTable {
+	return &hopTable{incarnation: self, hops: make(map[uint64]*hop)}
+}
+
+// add registers a running request and returns the context for its backend server.
+func (t *hopTable) add(h *hop) call.Context {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.next++
+	h.id = t.next
+	t.hops[h.id] = h
+	return call.Context{Hop: h.id, Incarnation: t.incarnation}
+}
+
+// remove ends a running request. Child calls that come later are refused, because their retry account has been
+// returned to the caller.
+func (t *hopTable) remove(h *hop) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.hops, h.id)
+}
+
+// find returns the running request that a context names, or nil.
+func (t *hopTable) find(c call.Context) *hop {
+	if c.Incarnation != t.incarnation {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hops[c.Hop]
+}
+
+// drainAccount takes everything that is left in an account, so that no later child call can spend it as well.
+func drainAccount(a *retry.Account) int {
+	left := 0
+	for n := a.Grant(); n > 0; n = a.Grant() {
+		left += n
+	}
+	return left
+}
--- /dev/null
+++ b/internal/daemon/reporter.go
@@ -0,0 +1,95 @@
+package daemon
+
+import (
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/events"
+	"guavapoint.example/guavapoint/internal/telemetry"
+	"guavapoint.example/guavapoint/internal/transport"
+)
+
+// reporter turns what happens to calls into metrics and log events. It is safe for concurrent use.
+type reporter struct {
+	log       *events.Logger
+	telemetry *telemetry.Telemetry
+}
+
+// called reports a call that this daemon sent for a caller. added is the part of the time that this daemon took.
+func (r *reporter) called(req *request, res *result, took, added time.Duration) {
+	r.telemetry.CallDone(telemetry.Call{
+		Service: req.service,
+		Class:   req.rank.Class(),
+		Outcome: res.outcome,
+		Reason:  res.reason,
+		Latency: took,
+		Added:   added,
+	})
+	r.log.Log(events.CallFinished, req.service, req.rootID, req.rank.Class().String(), res.outcome.String(), string(res.reason), took.String())
+	if res.outcome == call.OutcomeUnknown && req.bound() {
+		r.log.Log(events.OutcomeUnknown, req.service, req.rootID, string(res.reason))
+	}
+	if res.outcome == call.OutcomeNotRun {
+		r.refused(res.reason)
+		r.logRefusal(req, res.reason)
+	}
+}
+
+func (r *reporter) logRefusal(req *request, reason call.Reason) {
+	switch reason {
+	case call.ReasonNoUpstream:
+		r.log.Log(events.NoUpstream, req.service)
+	case call.ReasonTableFull:
+		r.log.Log(events.TokenTableFull, nil)
+	case call.ReasonLinkBudget:
+		r.log.Log(events.LinkBudgetSpent, req.service, nil)
+	}
+}
+
+// refused counts a call that was not run.
+func (r *reporter) refused(reason call.Reason) {
+	r.telemetry.Refused(reason)
+}
+
+// retried counts a retry.
+func (r *reporter) retried(service string) {
+	r.telemetry.Retry(service)
+}
+
+// retriesExhausted reports a retry that the service's ratio didn't allow.
+func (r *reporter) retriesExhausted(service string) {
+	r.log.Log(events.RetriesExhausted, service)
+}
+
+// truncated reports an answer that broke off.
+func (r *reporter) truncated(service, upstream string, declared int64) {
+	r.log.Log(events.ResponseTruncated, service, upstream, nil, declared)
+}
+
+// connectionLog reports connection events of the transport.
+type connectionLog struct {
+	log *events.Logger
+}
+
+// Observe implements transport.Observer.
+func (c connectionLog) Observe(e transport.Event) {
+	switch e.Kind {
+	case transport.EventFailed:
+		if e.Incoming {
+			c.log.Log(events.PeerRejected, e.Address, errorText(e.Err))
+			return
+		}
+		c.log.Log(events.ConnectionFailed, e.Address, errorText(e.Err))
+	case transport.EventSilent:
+		c.log.Log(events.ConnectionSilent, e.Address, nil)
+	case transport.EventRejected:
+		c.log.Log(events.MessageRejected, e.Address, errorText(e.Err))
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/daemon/result.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"io"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/wire"
+)
+
+// notRunError reports a request that is proved not to have run.
+type notRunError struct {
+	reason  call.Reason
+	message string
+}
+
+// Error implements error.
+func (e *notRunError) Error() string {
+	return "not run (" + string(e.reason) + "): " + e.message
+}
+
+// result is the outcome of a call as the caller is told. Header and body are set where the outcome is answered;
+// whoever receives the result closes the body.
+type result struct {
+	outcome  call.Outcome
+	reason   call.Reason
+	service  string
+	upstream string
+	status   int
+	header   []wire.Header
+	length   int64         // of the body, or -1
+	start    []byte        // the first bytes of the body
+	body     io.ReadCloser // what follows start
+	// finished is called after the body was read to its end, or given up.
+	finished func(whole bool)
+}
+
+func notRun(reason call.Reason) *result {
+	return &result{outcome: call.OutcomeNotRun, reason: reason}
+}
+
+func unknown(reason call.Reason) *result {
+	return &result{outcome: call.OutcomeUnknown, reason: reason}
+}
+
+// close ends an answered result.
+func (r *result) close(whole bool) {
+	if r.body != nil {
+		r.body.Close()
+	}
+	if r.finished != nil {
+		r.finished(whole)
+		r.finished = nil
+	}
+}
+
+// worse combines the outcomes of two attempts of one request. The request is proved not to have run only if
+// neither attempt ran.
+func worse(earlier, later *result) *result {
+	if earlier != nil && earlier.outcome == call.OutcomeUnknown && later.outcome == call.OutcomeNotRun {
+		return earlier
+	}
+	return later
+}
--- /dev/null
+++ b/internal/daemon/serve.go
@@ -0,0 +1,174 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/admission"
+	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/core/config"
+	"guavapoint.example/guavapoint/internal/core/quarantine"
+	"guavapoint.example/guavapoint/internal/core/retry"
+	"guavapoint.example/guavapoint/internal/telemetry"
+	"guavapoint.example/guavapoint/internal/transport"
+	"guavapoint.example/guavapoint/internal/wire"
+)
+
+// upstream serves the calls that other daemons send to this one. It is safe for concurrent use.
+type upstream struct {
+	service     string
+	self        string // peer address
+	incarnation call.Incarnation
+	config      *config.Holder
+	drain       *drainState
+	gate        *gate
+	tokens      *tokens
+	suspects    *suspects
+	hops        *hopTable
+	backend     *backend
+	report      *reporter
+	now         func() time.Time
+}
+
+// serving is one call on its way through the upstream's daemon.
+type serving struct {
+	header   *wire.CallHeader
+	body     *requestBody
+	print    quarantine.Fingerprint
+	deadline time.Time
+	account  *retry.Account
+	span     *telemetry.Span
+	// runCtx is the context of the backend server's work. It ends with the deadline and the caller for an idempotent request;
+	// a non-idempotent request is not cancelled once it has been dispatched.
+	runCtx context.Context
+}
+
+// serveCall takes one call and answers it.
+func (u *upstream) serveCall(s *transport.CallStream) {
+	started := u.now()
+	h := s.Header()
+	deadline := started.Add(h.Timeout)
+	ctx, cancel := context.WithDeadline(s.Context(), deadline)
+	defer cancel()
+	span := u.report.telemetry.StartSpan("upstream", h.TraceParent, u.service, h.Rank.Class())
+	v := &serving{header: h, deadline: deadline, account: retry.NewAccount(h.Retries), runCtx: ctx, span: span}
+	res := u.serve(ctx, v, s.Body())
+	span.End(res.outcome, res.reason)
+	u.answer(s, v, res)
+}
+
+// serve decides on a call and runs it.
+func (u *upstream) serve(ctx context.Context, v *serving, body io.Reader) *result {
+	if res := u.misdirected(v.header); res != nil {
+		return res
+	}
+	var err error
+	if v.body, err = newRequestBody(body, v.header.BodyLength); err != nil {
+		return notRun(call.ReasonCanceled)
+	}
+	v.print = quarantine.NewFingerprint(v.header.Service, v.header.Method, v.header.Path, v.body.prefix)
+	if v.header.Token != "" {
+		return u.serveBound(ctx, v)
+	}
+	if !u.drain.enter() {
+		return notRun(call.ReasonLeaving)
+	}
+	res := u.admitAndRun(ctx, v)
+	// The drain lasts until the answer has been read by the caller's daemon.
+	return withFinish(res, u.drain.leave)
+}
+
+// withFinish calls f when the result has been passed on.
+func withFinish(res *result, f func()) *result {
+	earlier := res.finished
+	res.finished = func(whole bool) {
+		if earlier != nil {
+			earlier(whole)
+		}
+		f()
+	}
+	return res
+}
+
+// misdirected refuses a call that is meant for another service or incarnation, for example when an address was
+// taken over by another VM.
+func (u *upstream) misdirected(h *wire.CallHeader) *result {
+	if h.Service == u.service && (h.Incarnation == 0 || h.Incarnation == u.incarnation) {
+		return nil
+	}
+	if h.Token != "" {
+		return unknown(call.ReasonIncarnationGone)
+	}
+	return notRun(call.ReasonWrongUpstream)
+}
+
+// admitAndRun waits for a slot and runs the call on the backend server.
+func (u *upstream) admitAndRun(ctx context.Context, v *serving) *result {
+	if u.suspects.refused(v.print) {
+		return notRun(call.ReasonQuarantined)
+	}
+	ticket, reason := u.gate.acquire(ctx, v.header.Rank, v.deadline)
+	if reason != call.ReasonNone {
+		return notRun(reason)
+	}
+	done, reason := u.suspects.enter(ctx, v.print)
+	if reason != call.ReasonNone {
+		u.gate.abandon(ticket)
+		return notRun(reason)
+	}
+	h := &hop{rootID: v.header.RootID, rank: v.header.Rank, depth: v.header.Depth, deadline: v.deadline,
+		account: v.account, ctx: v.runCtx}
+	c := u.hops.add(h)
+	started := u.now()
+	res, overloaded := u.backend.run(v, c.String(), v.span.TraceParent())
+	return withFinish(res, func() {
+		now := u.now()
+		own := now.Sub(started) - h.waitedForChildren(now)
+		u.hops.remove(h)
+		u.gate.release(ticket, admission.Sample{Own: own, Overloaded: overloaded})
+		done(res.outcome == call.OutcomeAnswered)
+	})
+}
+
+// answer sends the result to the caller's daemon.
+func (u *upstream) answer(s *transport.CallStream, v *serving, res *result) {
+	version, _ := u.config.Current()
+	h := wire.AnswerHeader{
+		Outcome:    res.outcome,
+		Reason:     res.reason,
+		Status:     res.status,
+		Header:     res.header,
+		BodyLength: res.length,
+		Cutoff:     u.gate.cutoff(),
+		Config:     wire.ConfigVersion{Epoch: version.Epoch, Revision: version.Revision},
+	}
+	unspent := func() int { return drainAccount(v.account) }
+	if res.outcome != call.OutcomeAnswered {
+		res.close(true)
+		_ = s.Answer(h, nil, unspent) // the caller's daemon may be gone
+		return
+	}
+	body := &watchedReader{r: io.MultiReader(bytes.NewReader(res.start), res.body)}
+	err := s.Answer(h, body, unspent)
+	res.close(err == nil)
+	if body.err != nil {
+		u.report.truncated(u.service, u.self, res.length)
+	}
+}
+
+// watchedReader remembers a failure of the reader below it.
+type watchedReader struct {
+	r   io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (w *watchedReader) Read(p []byte) (int, error) {
+	n, err := w.r.Read(p)
+	if err != nil && err != io.EOF {
+		w.err = err
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/daemon/services.go
@@ -0,0 +1,141 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/membership"
+	"guavapoint.example/guavapoint/internal/core/retry"
+	"guavapoint.example/guavapoint/internal/core/routing"
+)
+
+// service is the calling side of one service: the choice of upstreams and the ratio of retries. It is safe for
+// concurrent use.
+type service struct {
+	mu     sync.Mutex
+	picker *routing.Picker
+	ratio  *retry.Ratio
+}
+
+func (s *service) first(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ratio.First(now)
+}
+
+func (s *service) allowRetry(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ratio.Allow(now)
+}
+
+func (s *service) pick(now time.Time, q routing.Query) (routing.Candidate, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.Pick(now, q)
+}
+
+func (s *service) done(now time.Time, address string, r routing.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.Done(now, address, r)
+}
+
+func (s *service) update(now time.Time, cs []routing.Candidate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.Update(now, cs)
+}
+
+func (s *service) setRatio(ratio float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ratio.SetRatio(ratio)
+}
+
+// serviceTable holds a service for each name that was called, and the members that serve it. It is safe for
+// concurrent use.
+type serviceTable struct {
+	newPicker func(rng *rand.Rand) *routing.Picker
+	newRatio  func() *retry.Ratio
+	now       func() time.Time
+
+	mu       sync.Mutex
+	seed     uint64
+	services map[string]*service
+	members  map[string][]routing.Candidate // serving, by service
+	upstream map[string]string              // service of each address that was ever seen
+}
+
+func newServiceTable(seed uint64, newPicker func(*rand.Rand) *routing.Picker, newRatio func() *retry.Ratio,
+	now func() time.Time) *serviceTable {
+	return &serviceTable{
+		newPicker: newPicker,
+		newRatio:  newRatio,
+		now:       now,
+		seed:      seed,
+		services:  make(map[string]*service),
+		members:   make(map[string][]routing.Candidate),
+		upstream:  make(map[string]string),
+	}
+}
+
+// get returns the service with the given name. The configuration bounds the names, so the table stays small.
+func (t *serviceTable) get(name string) *service {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[name]
+	if s == nil {
+		t.seed++
+		s = &service{picker: t.newPicker(rand.New(rand.NewPCG(t.seed, t.seed))), ratio: t.newRatio()}
+		s.update(t.now(), t.members[name])
+		t.services[name] = s
+	}
+	return s
+}
+
+// setRatio changes the share of retries of all services.
+func (t *serviceTable) setRatio(ratio float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.services {
+		s.setRatio(ratio)
+	}
+}
+
+// known reports whether an address has been announced as an upstream of the service. Tokens come from callers, so an address
+// in a token is dialed only when it is known.
+func (t *serviceTable) known(service, address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.upstream[address] == service
+}
+
+// setMembers replaces the members. since remembers when each incarnation began to serve, for the cold-start ramp.
+func (t *serviceTable) setMembers(records []membership.Record, since func(membership.Record) time.Time) {
+	now := t.now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.members = make(map[string][]routing.Candidate)
+	for _, r := range records {
+		t.upstream[r.Address] = r.Service
+		if r.State == membership.StateServing || r.State == membership.StateSuspect {
+			t.members[r.Service] = append(t.members[r.Service], candidate(r, since(r)))
+		}
+	}
+	for name, s := range t.services {
+		s.update(now, t.members[name])
+	}
+}
+
+func candidate(r membership.Record, since time.Time) routing.Candidate {
+	return routing.Candidate{
+		Address:      r.Address,
+		Incarnation:  r.Incarnation,
+		Zone:         r.Zone,
+		Region:       r.Region,
+		Slots:        r.Slots,
+		ServingSince: since,
+	}
+}
--- /dev/null
+++ b/internal/daemon/setup_test.go
@@ -0,0 +1,220 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/config"
+	"guavapoint.example/guavapoint/internal/core/membership"
+	"guavapoint.example/guavapoint/internal/events"
+	"guavapoint.example/guavapoint/internal/settings"
+	"guavapoint.example/guavapoint/internal/standin/certs"
+	"guavapoint.example/guavapoint/internal/telemetry"
+)
+
+// eventually is the time after which a test gives up waiting for something that must happen. It is no measurement.
+const eventually = 30 * time.Second
+
+// site is a small deployment in one process: real daemons with real sockets on loopback, and test backend servers.
+type site struct {
+	t         *testing.T
+	authority *certs.Authority
+	document  *config.Document
+	nodes     []*node
+}
+
+// node is one daemon with its backend server.
+type node struct {
+	*Daemon
+	backend *httptest.Server
+	stop    context.CancelFunc
+	stopped chan error
+}
+
+const testDocument = `{
+  "format": 1, "epoch": 1, "change_id": "test-1", "changed_by": "test", "active_preset": "ordinary",
+  "presets": {"ordinary": PRESET, "peak": PRESET, "maintenance": PRESET},
+  "services": {
+    "lookup": {"operations": [
+      {"name": "get", "method": "GET", "path": "/{rest...}", "class": "normal", "idempotent": true, "upload": false},
+      {"name": "put", "method": "PUT", "path": "/{rest...}", "class": "high", "idempotent": true, "upload": true}]},
+    "transfer": {"operations": [
+      {"name": "post", "method": "POST", "path": "/{rest...}", "class": "critical", "idempotent": false, "upload": false},
+      {"name": "get", "method": "GET", "path": "/{rest...}", "class": "normal", "idempotent": true, "upload": false}]}
+  },
+  "batches": [{"name": "all", "services": ["lookup", "transfer"], "contract": {"number": "C-1", "expires": "2126-01-01"}}]
+}`
+
+const testPreset = `{"retry_budget": 3, "retry_ratio": 0.1, "default_timeout": "20s", "slot_share": 1, "reserved_share": 0,
+  "queue_delay": "1s", "lowest_class": "low", "link_bytes_per_second": 400000, "link_upload_share": 0.5}`
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	authority, err := certs.NewAuthority(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	doc, err := config.Parse([]byte(strings.ReplaceAll(testDocument, "PRESET", testPreset)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &site{t: t, authority: authority, document: doc}
+}
+
+// add starts a daemon for a service. Daemons that were added earlier are its bootstrap peers.
+func (s *site) add(service string, h http.Handler) *node {
+	s.t.Helper()
+	backend := httptest.NewServer(h)
+	s.t.Cleanup(backend.Close)
+	return s.addWith(service, backend)
+}
+
+func (s *site) addWith(service string, backend *httptest.Server) *node {
+	s.t.Helper()
+	files, err := s.authority.Issue("node-" + freeAddress(s.t, "udp")[len("127.0.0.1:"):])
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	cfg := &settings.Settings{
+		Name: service, Service: service, Region: "r", Zone: "z",
+		PeerAddress:  freeAddress(s.t, "udp"),
+		CallAddress:  freeAddress(s.t, "tcp"),
+		AdminAddress: freeAddress(s.t, "tcp"),
+		Backend:      settings.Backend{URL: backend.URL, Slots: 8, Connections: 64},
+		TLS:          settings.TLS{Certificate: files.Certificate, Key: files.Key, Authority: files.Authority},
+		DrainLimit:   eventually,
+	}
+	for _, n := range s.nodes {
+		cfg.Peers = append(cfg.Peers, n.settings.PeerAddress)
+	}
+	return s.run(cfg, backend)
+}
+
+// restart stops a daemon and starts another one with the same addresses beside the same backend server.
+func (s *site) restart(n *node) {
+	s.t.Helper()
+	n.stop()
+	if err := <-n.stopped; err != nil {
+		s.t.Fatal(err)
+	}
+	n.Daemon = s.run(n.settings, n.backend).Daemon
+	s.nodes = s.nodes[:len(s.nodes)-1]
+}
+
+func (s *site) run(cfg *settings.Settings, backend *httptest.Server) *node {
+	s.t.Helper()
+	tel, err := telemetry.New(s.t.Context(), telemetry.Config{})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	d, err := New(cfg, events.Discard(), tel)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if _, err := d.config.Offer(config.Version{Epoch: 1, Revision: 1}, s.document); err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{Daemon: d, backend: backend, stop: cancel, stopped: make(chan error, 1)}
+	go func() { n.stopped <- d.Run(ctx) }()
+	s.nodes = append(s.nodes, n)
+	s.t.Cleanup(cancel)
+	return n
+}
+
+// ready waits until each daemon sees all others serve.
+func (s *site) ready() {
+	s.t.Helper()
+	waitUntil(s.t, "all daemons know each other", func() bool {
+		for _, n := range s.nodes {
+			if n.serving() < len(s.nodes) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// serving returns the number of members that the daemon sees serve.
+func (n *node) serving() int {
+	count := 0
+	for _, r := range n.members.records() {
+		if r.State == membership.StateServing {
+			count++
+		}
+	}
+	return count
+}
+
+func waitUntil(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(eventually); !f(); {
+		if time.Now().After(deadline) {
+			t.Fatalf("gave up waiting until %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func freeAddress(t *testing.T, network string) string {
+	t.Helper()
+	if network == "udp" {
+		c, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		return c.LocalAddr().String()
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// reply is what a caller saw.
+type reply struct {
+	status  int
+	header  http.Header
+	body    string
+	bodyErr error
+}
+
+func (r reply) outcome() string { return r.header.Get(headerOutcome) }
+func (r reply) reason() string  { return r.header.Get(headerReason) }
+
+// send sends a call through an entry. The header is a list of names and values.
+func (n *node) send(t *testing.T, method, path, body string, header ...string) reply {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+n.settings.CallAddress+"/call/"+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, bodyErr := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(data), bodyErr}
+}
+
+// code returns the code of an error body.
+func (r reply) code() string {
+	var p problem
+	_ = json.Unmarshal([]byte(r.body), &p)
+	return p.Code
+}
