Close gaps in the stand-in tests

Cause: mutating the code on a scratch copy showed that an answer to another request was only noticed for uploads, and that two tests would hang for ten minutes instead of failing.

Change: the first case has a test of its own; the connections in the other two have deadlines, which no passing run reaches.

--- a/internal/standin/backend/child_test.go
+++ b/internal/standin/backend/child_test.go
@@ -5,8 +5,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
+	"time"
 )
 
 // fakeDaemon plays the call listener of a daemon: it asks for a token for POST requests and records what it gets.
@@ -105,8 +107,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if resp, err := http.Get(srv.URL); err == nil {
-		t.Errorf("status %d on a connection beyond the limit", resp.StatusCode)
+	if err := first.SetDeadline(time.Now().Add(30 * time.Second)); err != nil { // ends the test on a silent connection
+		t.Fatal(err)
+	}
+	client := &http.Client{Timeout: 30 * time.Second} // ends the test when the connection stays open
+	if resp, err := client.Get(srv.URL); err == nil || os.IsTimeout(err) {
+		t.Errorf("got %v, %v on a connection beyond the limit", resp, err)
 	}
 	_, _ = io.WriteString(first, "GET / HTTP/1.1\r\nHost: x\r\n"+HeaderTruncate+": 1\r\n\r\n")
 	data, err := io.ReadAll(first)
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -122,6 +122,13 @@
 			t.Errorf("%s: %+v", body, res)
 		}
 	}
+	foreign := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerOutcome, "answered")
+		_, _ = io.WriteString(w, `{"key":"other"}`)
+	}
+	if res, _ := runOne(t, 0, Operation{Method: "GET"}, foreign); res.Succeeded() || res.Wrong == "" {
+		t.Errorf("answer to another request: %+v", res)
+	}
 	if res, _ := runOne(t, 0, op, dropConnection); res.Outcome != OutcomeUnknown || res.Reason != ReasonEntryLost {
 		t.Errorf("lost connection: %+v", res)
 	}
