Check configuration documents on the command line

Cause: operators need to see all problems of a document before they publish it.

Ruled out: a flag for the kind of file, because the fields tell it.

Change: check takes an object with "presets" or "services" for a configuration document and reports the problems that config.Parse finds. The example documents are parsed in the examples' tests, which also compare the presets.

--- a/examples/generate/main_test.go
+++ b/examples/generate/main_test.go
@@ -1,28 +1,29 @@
 package main
 
 import (
-	"encoding/json"
 	"os"
 	"path/filepath"
 	"testing"
 
+	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/core/config"
 	"guavapoint.example/guavapoint/internal/settings"
 	"guavapoint.example/guavapoint/internal/standin/backend"
 	"guavapoint.example/guavapoint/internal/standin/certs"
 	"guavapoint.example/guavapoint/internal/standin/load"
 )
 
-func readJSON[T any](t *testing.T, name string) T {
+func readDocument(t *testing.T, name string) *config.Document {
 	t.Helper()
 	data, err := os.ReadFile(name)
 	if err != nil {
 		t.Fatal(err)
 	}
-	var v T
-	if err := json.Unmarshal(data, &v); err != nil {
+	doc, err := config.Parse(data)
+	if err != nil {
 		t.Fatalf("%s: %v", name, err)
 	}
-	return v
+	return doc
 }
 
 // Guards against committed settings that differ from the table.
@@ -76,16 +77,6 @@
 	}
 }
 
-// operations is the part of a configuration document that the example's routes have to match.
-type operations struct {
-	Services map[string]struct {
-		Operations []struct {
-			Name, Method, Path, Class string
-			Idempotent                bool
-		}
-	}
-}
-
 // depth returns the number of services in the deepest chain of calls from an operation, and fails for a call to a route
 // that doesn't exist.
 func depth(t *testing.T, backends map[string]backend.Config, service, method, path string) int {
@@ -104,24 +95,29 @@
 	return 0
 }
 
-// Guards against examples whose parts don't fit together: operations without a route, routes without an operation,
-// calls that the settings don't list, a shallow call chain, important operations with a low class.
+// Guards against examples whose parts don't fit together: invalid documents, operations without a route, routes without
+// an operation, calls that the settings don't list, a shallow call chain, important operations with a low class, presets
+// without a difference.
 func TestDeploymentsFitTogether(t *testing.T) {
 	important := map[string]bool{"transfer": true, "allocation": true, "crossing-booking": true}
 	for _, d := range deployments {
 		dir := filepath.Join("..", d.name)
 		backends := make(map[string]backend.Config)
-		ops := readJSON[operations](t, filepath.Join(dir, "config.json"))
+		doc := readDocument(t, filepath.Join(dir, "config.json"))
+		p := doc.Presets
+		if p["ordinary"] == p["peak"] || p["peak"] == p["maintenance"] || p["ordinary"] == p["maintenance"] {
+			t.Errorf("%s: two presets are equal", d.name)
+		}
 		routes, deepest := 0, 0
 		for _, s := range d.services {
 			backends[s.name] = checkBackend(t, filepath.Join(dir, "backends", s.name+".json"), s)
 			routes += len(backends[s.name].Routes)
 		}
-		for service, o := range ops.Services {
+		for service, o := range doc.Services {
 			for _, op := range o.Operations {
 				routes--
 				deepest = max(deepest, depth(t, backends, service, op.Method, op.Path))
-				if important[op.Name] && (op.Class != "critical" || op.Idempotent) {
+				if important[op.Name] && (op.Class != call.ClassCritical || op.Idempotent) {
 					t.Errorf("%s: %s is %s, idempotent %v", d.name, op.Name, op.Class, op.Idempotent)
 				}
 			}
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -2,20 +2,24 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"text/tabwriter"
 
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"guavapoint.example/guavapoint/internal/core/config"
 	"guavapoint.example/guavapoint/internal/settings"
 )
 
 // Kinds of files that check understands.
 const (
 	kindSettings = "settings"
+	kindDocument = "configuration"
 )
 
 // checkResult is the result for one file.
@@ -47,12 +51,13 @@
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "check",
-		Usage:     "check settings files without side effects",
+		Usage:     "check settings files and configuration documents without side effects",
 		ArgsUsage: "FILE...",
 		Description: "Reports all problems of all files and exits with 2 if there are any. Nothing is started, sent or " +
-			"written.\n\nExamples:\n\n" +
+			"written. An object with the field \"presets\" or \"services\" is taken for a configuration document, any " +
+			"other file for settings.\n\nExamples:\n\n" +
 			"guavapoint check /etc/guavapoint/settings.json\n" +
-			"guavapoint check --output json examples/registry/settings/*.json",
+			"guavapoint check --output json examples/registry/config.json",
 		Flags:  []cli.Flag{outputFlag()},
 		Action: runCheck,
 	}
@@ -81,10 +86,39 @@
 }
 
 func checkFile(name string) checkResult {
-	_, err := settings.Load(name)
+	data, err := readLimited(name)
+	if err != nil {
+		return newCheckResult(name, "unknown", []checkProblem{
+			{Found: fmt.Sprintf("an error (%v)", err), Allowed: "a readable file"},
+		})
+	}
+	if isDocument(data) {
+		_, err := config.Parse(data)
+		return newCheckResult(name, kindDocument, documentProblems(err))
+	}
+	_, err = settings.Load(name)
 	return newCheckResult(name, kindSettings, settingsProblems(err))
 }
 
+// readLimited reads one byte more than any valid file has, so that the parsers can report a file that is too large.
+func readLimited(name string) ([]byte, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(io.LimitReader(f, max(config.MaxSize, settings.MaxFileSize)+1))
+}
+
+// isDocument reports whether the file is meant as a configuration document. Malformed JSON is left to settings.
+func isDocument(data []byte) bool {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return false
+	}
+	return fields["presets"] != nil || fields["services"] != nil
+}
+
 func newCheckResult(name, kind string, problems []checkProblem) checkResult {
 	if problems == nil {
 		problems = []checkProblem{} // an empty array in JSON, not null
@@ -93,10 +127,6 @@
 }
 
 func settingsProblems(err error) []checkProblem {
-	var unreadable *settings.ReadError
-	if errors.As(err, &unreadable) {
-		return wholeFile(unreadable.Err)
-	}
 	var invalid *settings.InvalidError
 	if !errors.As(err, &invalid) {
 		return wholeFile(err)
@@ -108,12 +138,24 @@
 	return problems
 }
 
+func documentProblems(err error) []checkProblem {
+	var invalid *config.InvalidError
+	if !errors.As(err, &invalid) {
+		return wholeFile(err)
+	}
+	var problems []checkProblem
+	for _, p := range invalid.Problems {
+		problems = append(problems, checkProblem{Field: p.Field, Found: p.Found, Allowed: p.Allowed})
+	}
+	return problems
+}
+
 // wholeFile describes an error that concerns no field.
 func wholeFile(err error) []checkProblem {
 	if err == nil {
 		return nil
 	}
-	return []checkProblem{{Found: fmt.Sprintf("an error (%v)", err), Allowed: "a readable file"}}
+	return []checkProblem{{Found: fmt.Sprintf("an error (%v)", err)}}
 }
 
 // count returns a number with its noun.
