Add kv and call to guavapoint-standin

Cause: a trial on one machine needs the platform's service as a process with injected failures, and single calls whose tokens can be repeated.

Ruled out: a general HTTP client for single calls, because scripts would have to handle tokens and compare answers themselves.

Change: kv serves the stand-in key-value service with initial values, written through the published interface, and control paths for outage, delay and lost responses. call sends one request, spends its token, sends it again with the same token when asked, prints what the caller was told and fails unless all answers are the same.

Measured: go test -race ./cmd/guavapoint-standin ./internal/standin/load passes.

--- /dev/null
+++ b/cmd/guavapoint-standin/kv.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"guavapoint.example/guavapoint/internal/platform"
+	"guavapoint.example/guavapoint/internal/standin/kvstore"
+)
+
+// Rates of the users' platform service, in calls per second.
+const (
+	defaultWrites = 300
+	defaultReads  = 2000
+)
+
+func kvCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "kv",
+		Usage: "run a stand-in of the platform's key-value service until SIGTERM",
+		Description: "Keeps everything in memory. Failures are injected over HTTP:\n\n" +
+			"POST /_down?on=true     outage: calls fail without effect\n" +
+			"POST /_delay?time=200ms delays every call\n" +
+			"POST /_lose?count=1     the next writes take effect without a response\n" +
+			"GET  /_calls            calls by path\n\n" +
+			"Example:\n\nguavapoint-standin kv --listen 127.0.0.1:21001 --put guavapoint/config=examples/registry/config.json",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "listen", Required: true, Usage: "loopback `IP:PORT` to listen on"},
+			&cli.IntFlag{Name: "writes", Value: defaultWrites, Usage: "writes per second, 0 for no limit"},
+			&cli.IntFlag{Name: "reads", Value: defaultReads, Usage: "reads per second, 0 for no limit"},
+			&cli.StringSliceFlag{Name: "put", Usage: "`KEY=FILE` to write before calls are served; repeatable"},
+		},
+		Action: runKV,
+	}
+}
+
+func runKV(ctx context.Context, cmd *cli.Command) error {
+	if err := noArgs(cmd); err != nil {
+		return err
+	}
+	if cmd.Int("writes") < 0 || cmd.Int("reads") < 0 {
+		return usagef("--writes and --reads can't be negative")
+	}
+	values, err := readValues(cmd.StringSlice("put"))
+	if err != nil {
+		return err
+	}
+	listener, err := listenLoopback(cmd.String("listen"))
+	if err != nil {
+		return err
+	}
+	store := kvstore.New(time.Now, kvstore.Limits{Writes: cmd.Int("writes"), Reads: cmd.Int("reads")})
+	h := &http.Server{Handler: kvHandler(store), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	failed := make(chan error, 1)
+	go func() { failed <- h.Serve(listener) }()
+	defer h.Close() // pending watches never end by themselves
+	if err := putValues(ctx, "http://"+listener.Addr().String(), values); err != nil && ctx.Err() == nil {
+		return err
+	}
+	fmt.Fprintf(cmd.Root().Writer, "key-value service listens on %s\n", listener.Addr())
+	select {
+	case err := <-failed:
+		return fmt.Errorf("can't serve: %w", err)
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// value is a key with its content.
+type value struct {
+	key  string
+	data []byte
+}
+
+func readValues(puts []string) ([]value, error) {
+	var values []value
+	for _, put := range puts {
+		key, name, ok := strings.Cut(put, "=")
+		if !ok || key == "" {
+			return nil, usagef("--put is %q, allowed is KEY=FILE", put)
+		}
+		data, err := os.ReadFile(name)
+		if err != nil {
+			return nil, usagef("--put: %w", err)
+		}
+		values = append(values, value{key, data})
+	}
+	return values, nil
+}
+
+// putValues writes through the published interface, so that the values have revisions like any other.
+func putValues(ctx context.Context, url string, values []value) error {
+	client, err := platform.NewClient([]string{url}, nil, 0)
+	if err != nil {
+		return err
+	}
+	for _, v := range values {
+		if _, err := client.CompareAndSwap(ctx, v.key, 0, v.data, 0); err != nil {
+			return fmt.Errorf("can't write %s: %w", v.key, err)
+		}
+	}
+	return nil
+}
+
+// kvHandler adds the control paths to the store.
+func kvHandler(store *kvstore.Store) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", store)
+	mux.HandleFunc("POST /_down", control("on", func(s string) error {
+		on, err := strconv.ParseBool(s)
+		if err == nil {
+			store.SetDown(on)
+		}
+		return err
+	}))
+	mux.HandleFunc("POST /_delay", control("time", func(s string) error {
+		d, err := time.ParseDuration(s)
+		if err == nil {
+			store.SetDelay(d)
+		}
+		return err
+	}))
+	mux.HandleFunc("POST /_lose", control("count", func(s string) error {
+		n, err := strconv.Atoi(s)
+		if err == nil {
+			store.LoseResponses(n)
+		}
+		return err
+	}))
+	mux.HandleFunc("GET /_calls", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(store.Calls()) // a caller that has gone away needs no body
+	})
+	return mux
+}
+
+// control applies one query parameter.
+func control(name string, apply func(string) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if err := apply(r.URL.Query().Get(name)); err != nil {
+			http.Error(w, fmt.Sprintf("%s: %v", name, err), http.StatusBadRequest)
+		}
+	}
+}
--- a/cmd/guavapoint-standin/main.go
+++ b/cmd/guavapoint-standin/main.go
@@ -1,5 +1,5 @@
 // Command guavapoint-standin plays the parts around guavapoint that the users run themselves, so that guavapoint can be
-// tried on one machine: backend servers and callers. It is no part of the product.
+// tried on one machine: backend servers, callers and the platform's key-value service. It is no part of the product.
 package main
 
 import (
@@ -51,9 +51,9 @@
 func newRoot() *cli.Command {
 	root := &cli.Command{
 		Name:            "guavapoint-standin",
-		Usage:           "stand-in backend servers and callers for trials of guavapoint",
+		Usage:           "stand-in backend servers, callers and platform for trials of guavapoint",
 		HideHelpCommand: true,
-		Commands:        []*cli.Command{backendCommand(), loadCommand(), verifyCommand(), certsCommand()},
+		Commands:        []*cli.Command{backendCommand(), callCommand(), loadCommand(), verifyCommand(), kvCommand(), certsCommand()},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			if cmd.Args().Present() {
 				return usagef("unknown command %q; see guavapoint-standin --help", cmd.Args().First())
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -134,6 +134,38 @@
 	}
 }
 
+// Guards against a repeated call that spends another token, and against different answers that pass as one.
+func TestSingle(t *testing.T) {
+	ok := reply(200, "answered", "", "")
+	cases := []struct {
+		name     string
+		handlers []http.HandlerFunc
+		tokens   string
+		good     bool
+	}{
+		{"same answer", []http.HandlerFunc{reply(428, "not-run", "token-required", "a"), ok}, " a a", true},
+		{"other answer", []http.HandlerFunc{ok, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(headerOutcome, "answered")
+			fmt.Fprintf(w, `{"key":%q}`, r.Header.Get(headerKey))
+		}}, " ", false},
+		{"refused", []http.HandlerFunc{reply(503, "not-run", "overload", "")}, " ", false},
+		{"failed", []http.HandlerFunc{reply(500, "answered", "", "")}, " ", false},
+	}
+	for _, c := range cases {
+		e := &fakeEntry{handlers: c.handlers}
+		srv := httptest.NewServer(e)
+		o := Options{Entries: []string{strings.TrimPrefix(srv.URL, "http://")}, Timeout: 5 * time.Second}
+		x, err := Single(t.Context(), o, Operation{Service: "s", Method: "POST", Path: "/t"}, "k", 2)
+		srv.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := x.Check(); (err == nil) != c.good || strings.Join(e.tokens(), " ") != c.tokens {
+			t.Errorf("%s: %v, tokens %q", c.name, err, e.tokens())
+		}
+	}
+}
+
 // Guards against a report that loses requests or miscounts a class.
 func TestReport(t *testing.T) {
 	r := newReport()
