--- a/client.go
+++ b/client.go
@@ -96,6 +96,13 @@
 	}
 }
 
+// Close closes idle connections. Requests in flight are not affected.
+func (c *Client) Close() {
+	if t, ok := c.transport.(interface{ CloseIdleConnections() }); ok {
+		t.CloseIdleConnections()
+	}
+}
+
 func randomBackoff(attempt int) time.Duration {
 	return retry.Backoff(attempt, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 }
--- a/exchange.go
+++ b/exchange.go
@@ -92,7 +92,7 @@
 // afterNotRun handles a proof that this attempt didn't run. It covers earlier attempts only if the token's issuer gave
 // it: an entry daemon that refuses a resend knows nothing about the first attempt.
 func (x *exchange) afterNotRun(reason Reason) step {
-	fromIssuer := reason == ReasonTokenRefused || reason == ReasonTokenExpired
+	fromIssuer := x.token != "" && (reason == ReasonTokenRefused || reason == ReasonTokenExpired)
 	if x.mayHaveRun && !fromIssuer {
 		return x.refusedWhileUnknown(reason)
 	}
--- a/internal/core/quarantine/list.go
+++ b/internal/core/quarantine/list.go
@@ -91,7 +91,8 @@
 }
 
 // Crashed records that the backend server died with these requests in flight. It returns the records to disseminate.
-// A suspect that was the only request in flight is confirmed; the others become suspects.
+// A suspect that was the only request in flight is confirmed; the others become suspects. It must be called before
+// Gate.Done for these requests, otherwise a suspect that waits could start before it is confirmed.
 func (l *List) Crashed(now time.Time, inFlight []Fingerprint) []Record {
 	l.expire(now)
 	distinct := slices.Clone(inFlight)
--- a/request.go
+++ b/request.go
@@ -71,6 +71,13 @@
 	Resends int
 }
 
+// ChildOf makes the request a child call of the request that a backend server is serving: it inherits the rank, the
+// deadline and the part of the retry bound that its daemon grants. The request must be sent through that daemon.
+func (r *Request) ChildOf(parent *http.Request) {
+	r.Context = parent.Header.Get(headerContext)
+	r.TraceParent = parent.Header.Get(headerTraceParent)
+}
+
 // check returns a *RequestError if the request can't be sent.
 func (r *Request) check() error {
 	switch {
