Leave "may have taken effect" out of failed reads

Cause: a read that failed with an unknown outcome carried the text of ErrUnknown inside ErrUnavailable. In a trial with the stand-in platform down, "preset set" told the operator both "the call did not take effect" and "the write may have taken effect" about the same read.

Ruled out: printing only the outer error, because the endpoint and its status help to find the failing server.

Change: the read strips the prefix of ErrUnknown. The classification by errors.Is is unchanged.

Conclusion: the message names one outcome; internal/platform tests pass.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -120,11 +120,12 @@
 	return nil
 }
 
-// read performs a call without effect, so every failure is ErrUnavailable.
+// read performs a call without effect, so every failure is ErrUnavailable. Its text must not mention a write that may have
+// taken effect, since operators read it.
 func (c *Client) read(ctx context.Context, path string, req, resp any) error {
 	err := c.call(ctx, path, req, resp, true)
 	if errors.Is(err, ErrUnknown) {
-		return fmt.Errorf("%w: %v", ErrUnavailable, err)
+		return fmt.Errorf("%w: %s", ErrUnavailable, strings.TrimPrefix(err.Error(), ErrUnknown.Error()+": "))
 	}
 	return err
 }
