Report in-flight requests on drain, and log a lifted quarantine

Cause: the operator's drain command could not tell how much the daemon waits for and how long; event 5006 was in the catalogue, but no code wrote it; and DELETE /quarantine answered 204 for records that are kept after a clearance or a lift, although nothing was lifted.

Change: POST /drain returns the state, the requests in flight and the limit. DELETE /quarantine/{fingerprint} considers suspect and confirmed records only and logs 5006.

Ruled out: a second request to GET /state after POST /drain, because an idle daemon exits within 20 ms and would not answer it.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -13,6 +13,7 @@
 	"guavapoint.example/guavapoint/internal/core/call"
 	"guavapoint.example/guavapoint/internal/core/config"
 	"guavapoint.example/guavapoint/internal/core/quarantine"
+	"guavapoint.example/guavapoint/internal/events"
 )
 
 // State is the answer of GET /state on the admin listener.
@@ -89,19 +90,34 @@
 	writeJSON(w, http.StatusOK, Config{Epoch: v.Epoch, Revision: v.Revision, Document: doc})
 }
 
+// DrainAnswer is the answer of POST /drain on the admin listener.
+type DrainAnswer struct {
+	State string `json:"state"`
+	// InFlight is the number of requests that the drain waits for.
+	InFlight int `json:"in_flight"`
+	// Limit is the longest time from the begin of the drain to the exit, as text with a unit.
+	Limit string `json:"limit"`
+}
+
 // serveDrain starts a graceful shutdown, as SIGTERM does.
 func (d *Daemon) serveDrain(w http.ResponseWriter, _ *http.Request) {
 	d.Drain()
-	writeJSON(w, http.StatusAccepted, struct {
-		State string `json:"state"`
-	}{"leaving"})
+	writeJSON(w, http.StatusAccepted, DrainAnswer{
+		State:    d.memberState().String(),
+		InFlight: d.drain.inFlight(),
+		Limit:    d.settings.DrainLimit.String(),
+	})
 }
 
 // serveLift ends the quarantine of a fingerprint, named by its first 8 bytes as State shows it.
 func (d *Daemon) serveLift(w http.ResponseWriter, r *http.Request) {
 	name := mux.Vars(r)["fingerprint"]
 	for _, rec := range d.suspects.records() {
-		if rec.Fingerprint.String() == name && d.suspects.lift(rec.Fingerprint) {
+		if !quarantined(rec, d.now()) || rec.Fingerprint.String() != name {
+			continue
+		}
+		if d.suspects.lift(rec.Fingerprint) {
+			d.log.Log(events.QuarantineLifted, name)
 			w.WriteHeader(http.StatusNoContent)
 			return
 		}
@@ -109,6 +125,13 @@
 	writeError(w, &requestError{http.StatusNotFound, "unknown-fingerprint", "no such fingerprint is quarantined"})
 }
 
+// quarantined reports whether a record is a suspect or confirmed. Cleared and lifted records are kept for a time, but
+// there is nothing to lift.
+func quarantined(r quarantine.Record, now time.Time) bool {
+	state := r.StateAt(now)
+	return state == quarantine.Suspect || state == quarantine.Confirmed
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
