Add the operator's commands

Cause: operators had no way to read or change the configuration, read a daemon's state, drain it, lift a quarantine or look up a reason code.

--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,125 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"guavapoint.example/guavapoint/docs"
+	"guavapoint.example/guavapoint/internal/events"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "explain a reason code or the number of a log event",
+		ArgsUsage: "[CODE...]",
+		Description: "CODE is a reason of the Guavapoint-Reason header, such as overload, or the number or name of a log event.\n" +
+			"Without CODE, all are listed.\n\nExamples:\n\nguavapoint explain incarnation-gone\nguavapoint explain 4009\n" +
+			"guavapoint explain --output json",
+		Flags:  []cli.Flag{outputFlag()},
+		Action: runExplain,
+	}
+}
+
+// explanation is the result for one code.
+type explanation struct {
+	Code string `json:"code"`
+	Kind string `json:"kind"`
+	// Event and Level are those of a log event.
+	Event   string `json:"event,omitempty"`
+	Level   string `json:"level,omitempty"`
+	Meaning string `json:"meaning"`
+	// Ran says whether the request can have run.
+	Ran    string `json:"ran"`
+	Action string `json:"action"`
+}
+
+func runExplain(_ context.Context, cmd *cli.Command) error {
+	all := explanations()
+	if !cmd.Args().Present() {
+		return writeResult(cmd, all, func(w io.Writer) error { return listExplanations(w, all) })
+	}
+	found := make([]explanation, 0, cmd.Args().Len())
+	for _, code := range cmd.Args().Slice() {
+		i := slices.IndexFunc(all, func(e explanation) bool { return e.Code == code || e.Event == code && code != "" })
+		if i < 0 {
+			return usageError(eris.Errorf("unknown code %q; guavapoint explain lists all", code))
+		}
+		found = append(found, all[i])
+	}
+	return writeResult(cmd, found, func(w io.Writer) error { return writeExplanations(w, found) })
+}
+
+// explanations returns the reasons in the order of their names, and then the events in the order of their numbers.
+func explanations() []explanation {
+	var list []explanation
+	for code, r := range reasons {
+		list = append(list, explanation{Code: string(code), Kind: "reason", Meaning: r.meaning, Ran: r.ran, Action: r.action})
+	}
+	slices.SortFunc(list, func(a, b explanation) int { return strings.Compare(a.Code, b.Code) })
+	pages := eventTexts()
+	for _, e := range events.All() {
+		ran := eventRan[e.Number]
+		if ran == "" {
+			ran = ranNone
+		}
+		list = append(list, explanation{
+			Code: strconv.Itoa(e.Number), Kind: "event", Event: e.Name, Level: e.Level.String(),
+			Meaning: pages[e.Number].meaning, Ran: ran, Action: pages[e.Number].action,
+		})
+	}
+	return list
+}
+
+// eventRow matches a row of docs/events.md and takes its number, meaning and action.
+var eventRow = regexp.MustCompile(`(?m)^\| (\d+) \| \w+ \| \S+ \| ([^|]+) \| [^|]* ?\| ([^|]+?)( \\\*)? \|$`)
+
+// eventTexts reads the meaning and the action of each event from the embedded page.
+func eventTexts() map[int]reasonText {
+	texts := make(map[int]reasonText)
+	for _, m := range eventRow.FindAllStringSubmatch(docs.Events, -1) {
+		number, _ := strconv.Atoi(m[1]) // the pattern has digits only
+		texts[number] = reasonText{meaning: plainText(m[2]), action: plainText(m[3])}
+	}
+	return texts
+}
+
+// plainText removes the marks of code in Markdown.
+func plainText(s string) string {
+	return strings.TrimSpace(strings.ReplaceAll(s, "`", ""))
+}
+
+func listExplanations(w io.Writer, list []explanation) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "code\tevent\tmeaning")
+	for _, e := range list {
+		fmt.Fprintf(t, "%s\t%s\t%s\n", e.Code, orDash(e.Event), e.Meaning)
+	}
+	return t.Flush()
+}
+
+func writeExplanations(w io.Writer, list []explanation) error {
+	for i, e := range list {
+		title := e.Code
+		if e.Event != "" {
+			title += " " + e.Event + " (" + e.Level + ")"
+		}
+		if i > 0 {
+			fmt.Fprintln(w)
+		}
+		_, err := fmt.Fprintf(w, "%s\n  meaning: %s\n  has the request run: %s\n  what to do: %s\n", title, e.Meaning, e.Ran, e.Action)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/cli/program.go
+++ b/internal/cli/program.go
@@ -49,7 +49,10 @@
 }
 
 func (p *Program) commands() []*cli.Command {
-	commands := []*cli.Command{checkCommand(), versionCommand()}
+	commands := []*cli.Command{
+		checkCommand(), presetCommand(), configCommand(), batchCommand(), membersCommand(), stateCommand(), drainCommand(),
+		quarantineCommand(), explainCommand(), versionCommand(),
+	}
 	if p.Daemon != nil {
 		commands = append([]*cli.Command{p.daemonCommand()}, commands...)
 	}
--- a/internal/cli/program_test.go
+++ b/internal/cli/program_test.go
@@ -61,10 +61,17 @@
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata",
 		RequireExplicitExec: true,
-		Setup:               writeCertificates,
+		Setup: func(env *testscript.Env) error {
+			if err := writeCertificates(env); err != nil {
+				return err
+			}
+			return newWorld(env)
+		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"exits": exits,
-			"await": await,
+			"exits":      exits,
+			"await":      await,
+			"kv":         kv,
+			"fakedaemon": fakedaemon,
 		},
 	})
 }
--- /dev/null
+++ b/internal/cli/wait.go
@@ -0,0 +1,97 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"guavapoint.example/guavapoint/internal/core/config"
+)
+
+const (
+	// defaultWaitLimit is two and a half times the 4 s in which a change must be in effect everywhere.
+	defaultWaitLimit = 10 * time.Second
+	// waitPoll is the interval at which the daemons are asked.
+	waitPoll = 200 * time.Millisecond
+)
+
+// daemonVersion is what one daemon had in effect when the wait ended.
+type daemonVersion struct {
+	Address  string `json:"address"`
+	Version  string `json:"version,omitempty"`
+	InEffect bool   `json:"in_effect"`
+	Error    string `json:"error,omitempty"`
+}
+
+// await waits until all named daemons have the version, or a higher one, in effect.
+func (e *editor) await(ctx context.Context, v config.Version) ([]daemonVersion, error) {
+	limit := e.cmd.Duration("wait-limit")
+	deadline := time.Now().Add(limit)
+	for {
+		daemons, missing := inEffect(e.fleet.ask(ctx), v)
+		if missing == 0 {
+			return daemons, nil
+		}
+		if !time.Now().Before(deadline) || ctx.Err() != nil {
+			return daemons, eris.Errorf("version %v is accepted, but %d of %d daemons didn't have it in effect within %v",
+				v, missing, len(daemons), limit)
+		}
+		_ = sleep(ctx, waitPoll) // the context is checked above
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func inEffect(replies []reply, v config.Version) (daemons []daemonVersion, missing int) {
+	for _, r := range replies {
+		d := daemonVersion{Address: r.address}
+		if r.err != nil {
+			d.Error = r.err.Error()
+		} else {
+			d.Version, d.InEffect = r.version.String(), !r.version.Less(v)
+		}
+		if !d.InEffect {
+			missing++
+		}
+		daemons = append(daemons, d)
+	}
+	return daemons, missing
+}
+
+func writeDaemons(w io.Writer, daemons []daemonVersion) error {
+	if len(daemons) == 0 {
+		return nil
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "daemon\tversion\tresult")
+	for _, d := range daemons {
+		result := "in effect"
+		switch {
+		case d.Error != "":
+			result = d.Error
+		case !d.InEffect:
+			result = "not in effect"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\n", d.Address, orDash(d.Version), result)
+	}
+	return t.Flush()
+}
+
+// orDash keeps an empty cell visible.
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
