Test the admin listener and a response lost to a reset

Cause: the lift and the drain of a real daemon had no test, and a mutation that treats every network error as "nothing was changed" survived the tests of the commands, because the fake listener closed its connection without a reset.

Change: tests of lift and drain over the admin listener of real daemons; the fake listener resets the connection.

--- a/internal/cli/world_test.go
+++ b/internal/cli/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -162,10 +163,14 @@
 	respond(w, http.StatusOK, daemon.Config{Epoch: v.Epoch, Revision: v.Revision, Document: doc})
 }
 
-// serveDrain of a frozen daemon loses the response.
+// serveDrain of a frozen daemon resets the connection instead of responding.
 func (d *fakeDaemon) serveDrain(w http.ResponseWriter, _ *http.Request) {
 	if d.frozen {
-		panic(http.ErrAbortHandler)
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			_ = conn.(*net.TCPConn).SetLinger(0) // without it, the connection is closed and not reset
+			conn.Close()
+		}
+		return
 	}
 	respond(w, http.StatusAccepted, daemon.DrainAnswer{State: "leaving", InFlight: 2, Limit: "30s"})
 }
--- /dev/null
+++ b/internal/daemon/admin_test.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"guavapoint.example/guavapoint/internal/core/quarantine"
+)
+
+// admin sends a request to the admin listener and decodes a JSON response into v, unless that is nil.
+func (n *node) admin(t *testing.T, method, path string, v any) int {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+n.settings.AdminAddress+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if v != nil {
+		if err := json.NewDecoder(resp.Body).Decode(v); err != nil {
+			t.Fatalf("%s %s: %v", method, path, err)
+		}
+	}
+	return resp.StatusCode
+}
+
+// Guards against a quarantine that operators can't see or lift, one that other daemons of the service keep, and a
+// success that is reported where nothing was lifted.
+func TestQuarantineIsLiftedEverywhere(t *testing.T) {
+	s := newSite(t)
+	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	a, b := s.add("lookup", ok), s.add("lookup", ok)
+	s.ready()
+	fp := quarantine.NewFingerprint("lookup", "GET", "/poison", nil)
+	a.suspects.crashed([]quarantine.Fingerprint{fp})
+	listed := func(n *node) int {
+		var state State
+		n.admin(t, http.MethodGet, "/state", &state)
+		return len(state.Quarantine)
+	}
+	waitUntil(t, "both daemons list the fingerprint", func() bool { return listed(a) == 1 && listed(b) == 1 })
+	path := "/quarantine/" + fp.String()
+	if status := b.admin(t, http.MethodDelete, path, nil); status != http.StatusNoContent {
+		t.Errorf("lift: status %d", status)
+	}
+	waitUntil(t, "no daemon lists it", func() bool { return listed(a) == 0 && listed(b) == 0 })
+	var p problem
+	if status := b.admin(t, http.MethodDelete, path, &p); status != http.StatusNotFound || p.Code != "unknown-fingerprint" {
+		t.Errorf("second lift: status %d, %+v", status, p)
+	}
+}
+
+// Guards against a drain command that does nothing, or hides the requests that the daemon still waits for.
+func TestDrainCommandReportsRequestsInFlight(t *testing.T) {
+	s := newSite(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	n := s.add("lookup", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		close(started)
+		<-release
+	}))
+	s.ready()
+	done := make(chan reply)
+	go func() { done <- n.send(t, "GET", "lookup/slow", "") }()
+	<-started
+	var answer DrainAnswer
+	status := n.admin(t, http.MethodPost, "/drain", &answer)
+	if status != http.StatusAccepted || answer.State != "leaving" || answer.InFlight == 0 || answer.Limit != eventually.String() {
+		t.Errorf("drain: status %d, %+v", status, answer)
+	}
+	close(release)
+	if got := <-done; got.outcome() != "answered" {
+		t.Errorf("call in flight: %+v", got)
+	}
+	if err := <-n.stopped; err != nil {
+		t.Errorf("stopped with %v", err)
+	}
+}
