--- a/internal/cli/program.go
+++ b/internal/cli/program.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 
@@ -26,6 +27,10 @@
 // Run executes the command line args, of which the first is the program's name, and returns the exit code.
 func (p *Program) Run(ctx context.Context, args []string) ExitCode {
 	err := p.root().Run(ctx, args)
+	var library cli.ExitCoder
+	if errors.As(err, &library) {
+		err = usageError(err) // the library ends a run itself only for help on an unknown command
+	}
 	if err != nil {
 		fmt.Fprintf(p.Stderr, "guavapoint: %v\n", err)
 	}
