Treat putting the same document again as no change

Cause: config put of a file that had been put before exited with 4 and said "lost the race ... it has the same content", because the write had set a new change_id. A deployment script that puts its file at each run would fail.

Ruled out: comparing the content alone, because an edited old copy would then undo another operator's change unnoticed.

Change: a file is refused only if both its change_id and its content differ from the configuration in effect.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -85,12 +85,19 @@
 	if err != nil {
 		return err
 	}
-	if d := e.base.Document; d != nil && d.ChangeID != next.ChangeID && !cmd.Bool("replace") {
+	if e.undoes(next) && !cmd.Bool("replace") {
 		return e.outdated(next)
 	}
 	return e.change(ctx, next)
 }
 
+// undoes reports whether a document was made from another configuration than the one in effect and differs from it. A
+// file that was put before has the same content, so that putting it again is no error.
+func (e *editor) undoes(next *config.Document) bool {
+	d := e.base.Document
+	return d != nil && d.ChangeID != next.ChangeID && len(config.Diff(d, next)) > 0
+}
+
 func readDocument(name string) (*config.Document, error) {
 	data, err := readLimited(name)
 	if err != nil {
