--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -93,8 +93,9 @@
 }
 
 type started struct {
-	at  time.Time
-	low bool
+	at      time.Time
+	running int // including this one
+	low     bool
 }
 
 // New returns a controller without requests. Its limit starts at the configured slots.
@@ -110,30 +111,30 @@
 // Offer asks to start a request. The ticket waits if the effects don't name it. A ticket whose ID is running or waiting
 // already is ignored.
 func (c *Controller) Offer(now time.Time, t Ticket) []Effect {
-	effects := c.advance(now, nil)
 	if _, ok := c.running[t.ID]; ok || c.queue.find(t.ID) >= 0 {
-		return effects
+		return c.advance(now, nil)
 	}
 	if t.Rank.Class() < c.cfg.LowestClass {
-		return append(effects, Effect{t.ID, Refused, call.ReasonOverload})
+		return append(c.advance(now, nil), Effect{t.ID, Refused, call.ReasonOverload})
 	}
+	c.measure(now)
 	if c.tooLate(now, t) {
-		return append(effects, Effect{t.ID, Refused, call.ReasonDeadline})
+		return append(c.advance(now, nil), Effect{t.ID, Refused, call.ReasonDeadline})
 	}
 	c.cutoff.offered(t.Rank)
+	// The request joins the queue before others are refused, so that it doesn't wait where they could not.
 	c.queue.insert(waiting{Ticket: t, since: now})
-	effects = c.dispatch(now, effects)
-	return c.shedExcess(effects)
+	return c.shedExcess(c.advance(now, nil))
 }
 
 // Done reports the end of a running request and frees its slot. An unknown ID has no effect.
 func (c *Controller) Done(now time.Time, id uint64, s Sample) []Effect {
 	if r, ok := c.running[id]; ok {
-		c.limiter.sample(r.at, s)
+		c.limiter.sample(r, s)
 		c.typical.sample(now, now.Sub(r.at))
 		c.release(id, r)
 	}
-	return c.dispatch(now, c.advance(now, nil))
+	return c.advance(now, nil)
 }
 
 // Cancel withdraws a request. A waiting one leaves the queue without an effect of its own; a running one frees its slot
@@ -145,7 +146,7 @@
 	if r, ok := c.running[id]; ok {
 		c.release(id, r)
 	}
-	return c.dispatch(now, c.advance(now, nil))
+	return c.advance(now, nil)
 }
 
 // Tick lets time pass: it refuses requests that have waited too long and updates the limit and the cutoff.
@@ -179,12 +180,17 @@
 // advance closes elapsed measurement windows, starts what a raised limit allows, and refuses what has waited too long.
 // Starting comes first, so that nothing is refused while a slot is free for it.
 func (c *Controller) advance(now time.Time, effects []Effect) []Effect {
+	c.measure(now)
+	effects = c.dispatch(now, effects)
+	return c.expire(now, effects)
+}
+
+// measure closes elapsed measurement windows.
+func (c *Controller) measure(now time.Time) {
 	c.limiter.observe(len(c.running), c.queue.len())
 	c.limiter.advance(now)
 	c.cutoff.advance(now, c.idle())
 	c.typical.advance(now)
-	effects = c.dispatch(now, effects)
-	return c.expire(now, effects)
 }
 
 // dispatch starts waiting requests by falling rank while there are slots. It stops at the first one that has no slot:
@@ -249,7 +255,7 @@
 
 func (c *Controller) start(now time.Time, t Ticket) {
 	low := isLow(t.Rank)
-	c.running[t.ID] = started{at: now, low: low}
+	c.running[t.ID] = started{at: now, running: len(c.running) + 1, low: low}
 	if low {
 		c.low++
 	}
--- /dev/null
+++ b/internal/core/admission/controller_test.go
@@ -0,0 +1,241 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+	"pgregory.net/rapid"
+)
+
+// model follows a Controller by its effects alone.
+type model struct {
+	t        *rapid.T
+	c        *Controller
+	cfg      Config
+	now      time.Time
+	nextID   uint64
+	tickets  map[uint64]Ticket
+	since    map[uint64]time.Time
+	waiting  map[uint64]bool
+	running  map[uint64]bool
+	finished map[uint64]bool
+}
+
+func newModel(t *rapid.T) *model {
+	cfg := drawConfig(t)
+	return &model{
+		t: t, c: New(cfg), cfg: cfg, now: time.Unix(1000, 0), tickets: map[uint64]Ticket{},
+		since: map[uint64]time.Time{}, waiting: map[uint64]bool{}, running: map[uint64]bool{},
+		finished: map[uint64]bool{},
+	}
+}
+
+func drawConfig(t *rapid.T) Config {
+	return Config{
+		Slots:         rapid.IntRange(1, 12).Draw(t, "slots"),
+		SlotShare:     rapid.Float64Range(0.3, 1).Draw(t, "share"),
+		ReservedShare: rapid.Float64Range(0, 0.5).Draw(t, "reserved"),
+		QueueDelay:    time.Duration(rapid.IntRange(1, 60).Draw(t, "delay")) * time.Millisecond,
+		LowestClass:   call.Class(rapid.IntRange(0, 1).Draw(t, "lowest")),
+	}
+}
+
+func (m *model) step() {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(m.t, "ms")) * time.Millisecond)
+	switch rapid.IntRange(0, 12).Draw(m.t, "op") {
+	case 0:
+		m.check(m.c.Tick(m.now))
+	case 1:
+		m.cancel()
+	case 2:
+		m.cfg = drawConfig(m.t)
+		m.check(m.c.SetConfig(m.now, m.cfg))
+	case 3, 4, 5, 6:
+		m.done()
+	default:
+		m.offer()
+	}
+}
+
+func (m *model) offer() {
+	m.nextID++
+	hash := rapid.IntRange(0, 1<<24-1).Draw(m.t, "hash")
+	class := call.Class(rapid.IntRange(0, 3).Draw(m.t, "class"))
+	t := Ticket{ID: m.nextID, Rank: call.Lowest(class) + call.Rank(hash)}
+	if rapid.IntRange(0, 3).Draw(m.t, "limited") == 0 {
+		t.Deadline = m.now.Add(time.Duration(rapid.IntRange(-5, 100).Draw(m.t, "left")) * time.Millisecond)
+	}
+	m.tickets[t.ID] = t
+	m.since[t.ID] = m.now
+	m.waiting[t.ID] = true
+	m.check(m.c.Offer(m.now, t))
+}
+
+func (m *model) done() {
+	if id, ok := m.draw(m.running); ok {
+		delete(m.running, id)
+		own := time.Duration(rapid.IntRange(0, 40).Draw(m.t, "own")) * time.Millisecond
+		m.check(m.c.Done(m.now, id, Sample{Own: own, Overloaded: rapid.IntRange(0, 9).Draw(m.t, "over") == 0}))
+	}
+}
+
+func (m *model) cancel() {
+	set := m.waiting
+	if rapid.Bool().Draw(m.t, "cancel running") {
+		set = m.running
+	}
+	if id, ok := m.draw(set); ok {
+		delete(set, id)
+		m.finished[id] = true
+		m.check(m.c.Cancel(m.now, id))
+	}
+}
+
+// draw chooses the lowest or highest ID, which doesn't depend on the order of map iteration.
+func (m *model) draw(set map[uint64]bool) (uint64, bool) {
+	highest := rapid.Bool().Draw(m.t, "highest")
+	var chosen uint64
+	for id := range set {
+		if chosen == 0 || (id > chosen) == highest {
+			chosen = id
+		}
+	}
+	return chosen, chosen != 0
+}
+
+// check applies the effects and verifies the properties that hold after each of them.
+func (m *model) check(effects []Effect) {
+	for _, e := range effects {
+		m.apply(e)
+	}
+	m.checkOrder(effects)
+	load := m.c.Load()
+	if load.Waiting != len(m.waiting) || load.InFlight != len(m.running) {
+		m.t.Fatalf("load %+v, but %d wait and %d run", load, len(m.waiting), len(m.running))
+	}
+	if load.Limit < 1 || load.Limit > m.cfg.slots() {
+		m.t.Fatalf("limit %d of %d slots", load.Limit, m.cfg.slots())
+	}
+}
+
+func (m *model) apply(e Effect) {
+	if !m.waiting[e.ID] || m.finished[e.ID] {
+		m.t.Fatalf("effect %+v for a ticket that doesn't wait", e)
+	}
+	delete(m.waiting, e.ID)
+	if e.Kind == Refused {
+		m.finished[e.ID] = true
+		return
+	}
+	m.running[e.ID] = true
+	m.checkAdmission(m.tickets[e.ID])
+}
+
+func (m *model) checkAdmission(t Ticket) {
+	if !t.Deadline.IsZero() && t.Deadline.Sub(m.now) < m.c.typical.value {
+		m.t.Fatalf("started with %v left; typical is %v", t.Deadline.Sub(m.now), m.c.typical.value)
+	}
+	if len(m.running) > m.c.Load().Limit {
+		m.t.Fatalf("%d run, limit %d", len(m.running), m.c.Load().Limit)
+	}
+	low := 0
+	for id := range m.running {
+		if m.tickets[id].Rank.Class() <= call.ClassNormal {
+			low++
+		}
+	}
+	limit := m.c.Load().Limit
+	if free := int(float64(limit) * (1 - m.cfg.ReservedShare)); t.Rank.Class() <= call.ClassNormal && low > max(free, 1) {
+		m.t.Fatalf("%d of low and normal run; limit %d, reserved share %v", low, limit, m.cfg.ReservedShare)
+	}
+}
+
+func (m *model) checkOrder(effects []Effect) {
+	for _, e := range effects {
+		if e.Kind != Refused || e.Reason != call.ReasonOverload {
+			continue
+		}
+		refused := m.tickets[e.ID].Rank.Class()
+		for id := range m.waiting {
+			if m.tickets[id].Rank.Class() < refused {
+				m.t.Fatalf("refused class %v while %v waits", refused, m.tickets[id].Rank.Class())
+			}
+		}
+		for _, a := range effects {
+			if a.Kind == Admitted && m.tickets[a.ID].Rank.Class() < refused {
+				m.t.Fatalf("refused class %v and admitted %v", refused, m.tickets[a.ID].Rank.Class())
+			}
+		}
+	}
+}
+
+// Guards against a refusal of an important request while a less important one waits or starts, a ticket that is lost or
+// admitted twice, a start above the limit, on a reserved slot or too late to finish.
+func TestControllerProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			m.step()
+		}
+	})
+}
+
+// Guards against a queue that holds requests for longer than its delay: after a tick nothing older waits.
+func TestQueueIsBoundedByDelay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			m.step()
+			m.check(m.c.Tick(m.now))
+			for id := range m.waiting {
+				if age := m.now.Sub(m.since[id]); age > m.cfg.QueueDelay {
+					t.Fatalf("waits for %v, bound %v", age, m.cfg.QueueDelay)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a queue that sheds the newest request rather than the one of lowest rank.
+func TestHigherRankDisplacesLowest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New(Config{Slots: 1})
+		now := time.Unix(1000, 0)
+		c.Offer(now, Ticket{ID: 1, Rank: call.MaxRank})
+		bound := c.queueBound()
+		var lowest Ticket
+		for id := range bound {
+			rank := call.Rank(rapid.Uint32Range(1000, uint32(call.MaxRank)).Draw(t, "rank"))
+			w := Ticket{ID: uint64(id + 2), Rank: rank}
+			c.Offer(now, w)
+			if lowest.ID == 0 || w.Rank <= lowest.Rank {
+				lowest = w
+			}
+		}
+		higher := c.Offer(now, Ticket{ID: 1000, Rank: call.MaxRank})
+		if len(higher) != 1 || higher[0] != (Effect{lowest.ID, Refused, call.ReasonOverload}) {
+			t.Fatalf("got %+v, want %d refused", higher, lowest.ID)
+		}
+		lower := c.Offer(now, Ticket{ID: 1001, Rank: 0})
+		if len(lower) != 1 || lower[0].ID != 1001 {
+			t.Fatalf("got %+v, want 1001 refused", lower)
+		}
+	})
+}
+
+// Guards against an estimate of the running time that refuses every request for ever once it exceeds all deadlines.
+func TestTypicalTimeFallsWithoutSamples(t *testing.T) {
+	c := New(Config{Slots: 1})
+	now := time.Unix(1000, 0)
+	c.Offer(now, Ticket{ID: 1})
+	now = now.Add(10 * time.Second)
+	c.Done(now, 1, Sample{Own: 10 * time.Second})
+	if e := c.Offer(now, Ticket{ID: 2, Deadline: now.Add(time.Second)}); len(e) != 1 || e[0].Reason != call.ReasonDeadline {
+		t.Fatalf("a request with 1 s left of typically 10 s: %+v", e)
+	}
+	now = now.Add(6 * time.Second)
+	if e := c.Offer(now, Ticket{ID: 3, Deadline: now.Add(time.Second)}); len(e) != 1 || e[0].Kind != Admitted {
+		t.Fatalf("after 6 s without samples: %+v", e)
+	}
+}
--- a/internal/core/admission/limiter.go
+++ b/internal/core/admission/limiter.go
@@ -3,20 +3,21 @@
 import "time"
 
 const (
-	// windowSamples and the two durations bound one measurement window. 100 exponentially distributed samples give the
-	// mean with a standard error of 10%, a fifth of what slowdown must exceed.
+	// windowSamples, windowTurns and the two durations bound one measurement window. 100 exponentially distributed
+	// samples give the mean with a standard error of 10%. A window counts only requests that start and end in it, which
+	// favors short ones unless each slot is used several times.
 	windowSamples = 100
+	windowTurns   = 3
 	windowMin     = 100 * time.Millisecond
 	windowMax     = time.Second
+	// leastSamples is what a window needs at windowMax. With fewer it goes on, as their mean says little.
+	leastSamples = 10
 
 	// tolerance is the ratio of own time to baseline above which a smaller limit is tried. Queueing inside a healthy
 	// backend server may double the own time without loss of throughput.
 	tolerance = 2.0
 	// trialShare is the part of the present concurrency that a trial allows.
 	trialShare = 0.7
-	// trialGain is the ratio of own times below which a trial counts as a success. It lies halfway between an own time
-	// that doesn't depend on concurrency (1) and one proportional to it (trialShare).
-	trialGain = 0.85
 	// growth is the rise of the limit per window in which it was in demand.
 	growth = 0.05
 	// overloadCut is applied for a window in which the backend server refused requests for overload.
@@ -27,14 +28,16 @@
 
 // limiter derives the limit on running requests from own times.
 //
-// The baseline is the own time at low concurrency. When own times exceed it, a smaller limit is tried. If own times fall
-// with it, concurrency was the cause and the smaller limit stays. Otherwise the backend server is slow for another
-// reason: the former limit returns and the measured time becomes the baseline. So an overloaded backend server doesn't
-// raise the baseline and a slow one doesn't lose its limit.
+// The baseline is the own time at a concurrency that doesn't lengthen it. When own times exceed it, a smaller limit is
+// tried. If own times fall with it, concurrency was the cause and the smaller limit stays. Otherwise the backend server
+// is slow for another reason: the former limit returns and the measured time becomes the baseline. So an overloaded
+// backend server doesn't raise the baseline and a slow one doesn't lose its limit. The first measurements may come from
+// an overloaded backend server; they count as baseline only after a trial has failed to improve on them.
 type limiter struct {
 	max      int
 	limit    float64
 	baseline float64 // seconds
+	verified bool    // a trial has shown that the baseline doesn't depend on concurrency
 	window   window
 	trial    trial
 }
@@ -42,17 +45,23 @@
 type window struct {
 	start      time.Time
 	samples    int
-	sum        float64 // seconds
+	own        float64 // sum in seconds
+	running    int     // sum over the samples of the requests running at their start
 	overloaded int
 	peak       int // running requests
 	queued     bool
 }
 
+// means returns the averages over the samples: own time in seconds and running requests at the start.
+func (w *window) means() (own, running float64) {
+	n := float64(w.samples)
+	return w.own / n, float64(w.running) / n
+}
+
 type trial struct {
-	active    bool
-	start     time.Time
-	formerOwn float64 // seconds
-	former    float64 // limit
+	active       bool
+	own, running float64 // means of the window before
+	formerLimit  float64
 }
 
 func newLimiter(slots int) limiter {
@@ -76,18 +85,19 @@
 	l.window.queued = l.window.queued || queued > 0
 }
 
-// sample records the end of a request that started at the given time. During a trial, requests that started before it
-// ran at the former concurrency and don't count.
-func (l *limiter) sample(start time.Time, s Sample) {
+// sample records the end of a request. Requests that started before the window ran at another concurrency and don't
+// count.
+func (l *limiter) sample(r started, s Sample) {
 	if s.Overloaded {
 		l.window.overloaded++
 		return
 	}
-	if l.trial.active && start.Before(l.trial.start) {
+	if r.at.Before(l.window.start) {
 		return
 	}
 	l.window.samples++
-	l.window.sum += s.Own.Seconds()
+	l.window.own += s.Own.Seconds()
+	l.window.running += r.running
 }
 
 // advance closes the window when it is complete.
@@ -96,60 +106,64 @@
 		l.window.start = now
 	}
 	age := now.Sub(l.window.start)
-	if age < windowMin || (l.window.samples < windowSamples && age < windowMax) {
+	if age < windowMin || !l.window.complete(age, l.current()) {
 		return
 	}
-	l.close(now)
+	l.close()
 	l.window = window{start: now}
 }
 
-func (l *limiter) close(now time.Time) {
-	w := l.window
-	if w.overloaded > 0 {
+func (w *window) complete(age time.Duration, limit int) bool {
+	enough := max(windowSamples, windowTurns*limit)
+	return w.overloaded > 0 || w.samples >= enough || (age >= windowMax && w.samples >= leastSamples)
+}
+
+func (l *limiter) close() {
+	if l.window.overloaded > 0 {
 		l.trial = trial{}
 		l.limit *= overloadCut
 		l.clamp()
 		return
 	}
-	if w.samples == 0 {
-		return
-	}
-	own := w.sum / float64(w.samples)
+	own, running := l.window.means()
 	if l.trial.active {
-		l.endTrial(own)
+		l.endTrial(own, running)
 		return
 	}
-	l.adjust(now, own)
+	l.adjust(own, running)
 }
 
-func (l *limiter) adjust(now time.Time, own float64) {
+func (l *limiter) adjust(own, running float64) {
 	if l.baseline == 0 || own < l.baseline {
 		l.baseline = own
 	}
-	if own > tolerance*l.baseline {
-		l.startTrial(now, own)
-		return
-	}
-	if l.window.queued || l.window.peak >= l.current() {
+	inDemand := l.window.queued || l.window.peak >= l.current()
+	switch {
+	case own > tolerance*l.baseline, inDemand && !l.verified:
+		l.startTrial(own, running)
+	case inDemand:
 		l.limit += max(1, l.limit*growth)
 		l.clamp()
 	}
 }
 
-func (l *limiter) startTrial(now time.Time, own float64) {
-	l.trial = trial{active: true, start: now, formerOwn: own, former: l.limit}
-	l.limit = trialShare * min(l.limit, float64(l.window.peak))
+func (l *limiter) startTrial(own, running float64) {
+	l.trial = trial{active: true, own: own, running: running, formerLimit: l.limit}
+	l.limit = trialShare * min(l.limit, running)
 	l.clamp()
 }
 
-func (l *limiter) endTrial(own float64) {
+// endTrial keeps the smaller limit if the own time has come at least half of the way from no change to a fall in
+// proportion to the concurrency.
+func (l *limiter) endTrial(own, running float64) {
 	t := l.trial
 	l.trial = trial{}
-	if own <= trialGain*t.formerOwn {
+	if own/t.own <= (1+running/t.running)/2 {
 		return
 	}
-	l.limit = t.former
+	l.limit = t.formerLimit
 	l.baseline = own
+	l.verified = true
 	l.clamp()
 }
 
--- /dev/null
+++ b/internal/core/admission/limiter_test.go
@@ -0,0 +1,187 @@
+package admission
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+	"pgregory.net/rapid"
+)
+
+const testSlots = 40
+
+// backend is a backend server on fake time whose own time depends on the number of requests it runs.
+type backend struct {
+	c    *Controller
+	rng  *rand.Rand
+	now  time.Time
+	id   uint64
+	ends map[uint64]end
+	own  func(running int) time.Duration // mean own time
+	deep time.Duration                   // wait for child calls
+}
+
+type end struct {
+	at  time.Time
+	own time.Duration
+}
+
+func newBackend(seed uint64, own func(int) time.Duration) *backend {
+	return &backend{
+		c: New(Config{Slots: testSlots}), rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
+		ends: map[uint64]end{}, own: own,
+	}
+}
+
+// run offers the given number of requests per millisecond.
+func (b *backend) run(d time.Duration, perMilli float64) {
+	due := 0.0
+	for until := b.now.Add(d); b.now.Before(until); b.now = b.now.Add(time.Millisecond) {
+		b.finish()
+		for due += perMilli; due >= 1; due-- {
+			b.id++
+			b.apply(b.c.Offer(b.now, Ticket{ID: b.id, Rank: call.Rank(b.rng.Uint32N(uint32(call.MaxRank)))}))
+		}
+		b.apply(b.c.Tick(b.now))
+	}
+}
+
+func (b *backend) finish() {
+	var ids []uint64
+	for id, e := range b.ends {
+		if !b.now.Before(e.at) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		own := b.ends[id].own
+		delete(b.ends, id)
+		b.apply(b.c.Done(b.now, id, Sample{Own: own}))
+	}
+}
+
+func (b *backend) apply(effects []Effect) {
+	for _, e := range effects {
+		if e.Kind == Admitted {
+			mean := b.own(len(b.ends) + 1)
+			own := mean/2 + time.Duration(b.rng.Int64N(int64(mean)))
+			b.ends[e.ID] = end{b.now.Add(own + b.deep), own}
+		}
+	}
+}
+
+func constant(d time.Duration) func(int) time.Duration {
+	return func(int) time.Duration { return d }
+}
+
+// knee returns own times that grow in proportion to the requests beyond n.
+func knee(n int, d time.Duration) func(int) time.Duration {
+	return func(running int) time.Duration {
+		return time.Duration(float64(d) * math.Max(1, float64(running)/float64(n)))
+	}
+}
+
+// Guards against a limit that falls, even for a moment, because a deeper service is slow.
+func TestLimitHoldsWhenDeeperServiceIsSlow(t *testing.T) {
+	b := newBackend(1, constant(10*time.Millisecond))
+	b.run(5*time.Second, 6)
+	b.deep = 500 * time.Millisecond
+	for range 100 {
+		b.run(100*time.Millisecond, 6)
+		if limit := b.c.Load().Limit; limit < testSlots {
+			t.Fatalf("limit %d of %d slots", limit, testSlots)
+		}
+	}
+}
+
+// Guards against a limit that stays low because the service itself has become slower at any concurrency.
+func TestLimitReturnsWhenServiceItselfIsSlow(t *testing.T) {
+	b := newBackend(1, constant(10*time.Millisecond))
+	b.run(5*time.Second, 6)
+	b.own = constant(50 * time.Millisecond)
+	b.run(10*time.Second, 6)
+	if limit := b.c.Load().Limit; limit < testSlots*9/10 {
+		t.Fatalf("limit %d of %d slots", limit, testSlots)
+	}
+}
+
+// Guards against a baseline learned from an overloaded backend server: the daemon starts during an overload.
+func TestLimitFallsWhenStartedOverloaded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64Range(1, 1000).Draw(t, "seed")
+		b := newBackend(seed, knee(8, 10*time.Millisecond))
+		b.run(20*time.Second, 4)
+		if limit := b.c.Load().Limit; limit < 8 || limit > 20 {
+			t.Fatalf("limit %d, own times double at a concurrency of 16", limit)
+		}
+	})
+}
+
+// Guards against a cutoff that stays at zero under overload, or stays up after it.
+func TestCutoffRisesAndFalls(t *testing.T) {
+	b := newBackend(1, constant(10*time.Millisecond))
+	b.run(2*time.Second, 3)
+	if cutoff := b.c.Cutoff(b.now); cutoff != 0 {
+		t.Fatalf("cutoff %x without overload", cutoff)
+	}
+	b.run(2*time.Second, 8)
+	half := call.MaxRank / 2
+	if cutoff := b.c.Cutoff(b.now); cutoff < half/2 || cutoff > half+half/2 {
+		t.Fatalf("cutoff %x at twice the capacity, of %x", cutoff, call.MaxRank)
+	}
+	b.run(2*time.Second, 3)
+	if cutoff := b.c.Cutoff(b.now); cutoff != 0 {
+		t.Fatalf("cutoff %x two seconds after the overload", cutoff)
+	}
+}
+
+// Guards against a cutoff above a rank that was not refused: callers would refuse it at the entry. Here the critical
+// requests of a window wait while one of low class is shed.
+func TestCutoffStaysWithinShedRanks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New(Config{Slots: rapid.IntRange(1, 20).Draw(t, "slots"), QueueDelay: time.Second})
+		now := time.Unix(1000, 0)
+		low := call.Rank(rapid.IntRange(0, 1<<24-1).Draw(t, "low"))
+		c.Offer(now, Ticket{ID: 1, Rank: low})
+		for id := uint64(2); c.Load().Waiting < c.queueBound(); id++ {
+			c.Offer(now, Ticket{ID: id, Rank: call.MaxRank})
+		}
+		c.Offer(now, Ticket{ID: 1000, Rank: low})
+		now = now.Add(cutoffWindow)
+		if cutoff := c.Cutoff(now); cutoff > low+1 {
+			t.Fatalf("cutoff %x, highest refused rank %x", cutoff, low)
+		}
+	})
+}
+
+func BenchmarkOfferDone(b *testing.B) {
+	c := New(Config{Slots: 90, ReservedShare: 0.1})
+	now := time.Unix(1000, 0)
+	id := uint64(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		now = now.Add(100 * time.Microsecond)
+		c.Offer(now, Ticket{ID: id, Rank: call.Rank(id * 2654435761 % uint64(call.MaxRank))})
+		c.Done(now, id, Sample{Own: 10 * time.Millisecond})
+	}
+}
+
+// BenchmarkOfferOverloaded measures a decision with full slots and a full queue.
+func BenchmarkOfferOverloaded(b *testing.B) {
+	c := New(Config{Slots: 90, ReservedShare: 0.1})
+	now := time.Unix(1000, 0)
+	for id := range uint64(1000) {
+		c.Offer(now, Ticket{ID: id + 1, Rank: call.MaxRank})
+	}
+	id := uint64(1000)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		c.Offer(now, Ticket{ID: id, Rank: call.Rank(id * 2654435761 % uint64(call.MaxRank))})
+	}
+}
--- /dev/null
+++ b/internal/core/routing/link_test.go
@@ -0,0 +1,158 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+	"pgregory.net/rapid"
+)
+
+const testRate = 400_000 // bytes per second, as in the preset "ordinary"
+
+// Guards against a link that carries more than its budget: over any time, requests and responses stay within the rate
+// and the burst, apart from one upload and the responses of the calls that were under way at once.
+func TestLinkBudgetIsKept(t *testing.T) {
+	const maxResponse, maxUpload = 4000, 200_000
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLink(LinkConfig{BytesPerSecond: testRate, UploadShare: 0.5})
+		now := epoch
+		l.take(now, Query{}) // sets the link's clock
+		l.settle(now, 0)
+		var sent, outstanding, most int64
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4).Draw(t, "ms")) * time.Millisecond)
+			q := drawQuery(t, maxUpload)
+			if l.take(now, q) {
+				sent += q.Bytes
+				outstanding++
+				most = max(most, outstanding)
+			}
+			if outstanding > 0 && rapid.Bool().Draw(t, "settle") {
+				response := rapid.Int64Range(0, maxResponse).Draw(t, "response")
+				l.settle(now, response)
+				outstanding--
+				sent += response
+			}
+			budget := testRate*(now.Sub(epoch)+linkBurst).Seconds() + maxUpload + float64(most*maxResponse)
+			if float64(sent) > budget {
+				t.Fatalf("%d bytes in %v, budget %.0f", sent, now.Sub(epoch), budget)
+			}
+		}
+	})
+}
+
+// Guards against responses that are not charged: a daemon with one small call at a time and large responses.
+func TestLinkChargesResponses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLink(LinkConfig{BytesPerSecond: testRate, UploadShare: 0.5})
+		response := rapid.Int64Range(1000, 40_000).Draw(t, "response")
+		received := 0.0
+		for ms := range 1000 {
+			now := epoch.Add(time.Duration(ms) * time.Millisecond)
+			if l.take(now, Query{Bytes: 10, Rank: call.MaxRank}) {
+				l.settle(now, response)
+				received += float64(response)
+			}
+			budget := testRate*(now.Sub(epoch)+linkBurst).Seconds() + float64(response)
+			if received > budget {
+				t.Fatalf("%.0f bytes of responses in %d ms, budget %.0f", received, ms, budget)
+			}
+		}
+	})
+}
+
+func drawQuery(t *rapid.T, maxUpload int64) Query {
+	q := Query{Rank: call.Lowest(call.Class(rapid.IntRange(0, 3).Draw(t, "class")))}
+	if q.Upload = rapid.Bool().Draw(t, "upload"); q.Upload {
+		q.Bytes = rapid.Int64Range(0, maxUpload).Draw(t, "bytes")
+	} else {
+		q.Bytes = rapid.Int64Range(0, 20_000).Draw(t, "bytes")
+	}
+	return q
+}
+
+// Guards against uploads that exceed their share, apart from one upload.
+func TestUploadsKeepTheirShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0.1, 0.9).Draw(t, "share")
+		l := NewLink(LinkConfig{BytesPerSecond: testRate, UploadShare: share})
+		size := rapid.Int64Range(1, 200_000).Draw(t, "size")
+		sent := 0.0
+		for ms := range 2000 {
+			now := epoch.Add(time.Duration(ms) * time.Millisecond)
+			for l.take(now, Query{Bytes: size, Upload: true, Rank: call.MaxRank}) {
+				l.settle(now, 0)
+				sent += float64(size)
+			}
+			if budget := share*testRate*float64(ms)/1000 + float64(size); sent > budget+1 {
+				t.Fatalf("%.0f bytes of uploads after %d ms, budget %.0f", sent, ms, budget)
+			}
+		}
+	})
+}
+
+// Guards against small calls that find the budget used up by uploads: below the rest of the budget all pass, though
+// uploads of a higher class are tried before each of them.
+func TestUploadsDontStarveSmallCalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLink(LinkConfig{BytesPerSecond: testRate, UploadShare: 0.5})
+		size := rapid.Int64Range(1000, 500_000).Draw(t, "size")
+		small := rapid.Int64Range(1, 2000).Draw(t, "small")
+		class := call.Class(rapid.IntRange(0, 3).Draw(t, "class"))
+		gap := time.Duration(float64(small) / (testRate / 2) * 1.05 * float64(time.Second))
+		now := epoch
+		for range 500 {
+			now = now.Add(gap)
+			if l.take(now, Query{Bytes: size, Upload: true, Rank: call.MaxRank}) {
+				l.settle(now, 0)
+			}
+			if !l.take(now, Query{Bytes: small, Rank: call.Lowest(class)}) {
+				t.Fatalf("small call refused after %v", now.Sub(epoch))
+			}
+			l.settle(now, 0)
+		}
+	})
+}
+
+// Guards against a budget that goes to a less important call while a more important one of the same size is refused.
+func TestLinkServesImportantClassesFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLink(LinkConfig{BytesPerSecond: testRate, UploadShare: 0.5})
+		now := epoch
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 10).Draw(t, "ms")) * time.Millisecond)
+			q := drawQuery(t, 50_000)
+			l.take(now, q)
+			for c := call.ClassNormal; c <= call.ClassCritical; c++ {
+				higher, lower := q, q
+				higher.Rank, lower.Rank = call.Lowest(c), call.Lowest(c-1)
+				if l.room(lower) && !l.room(higher) {
+					t.Fatalf("room for %v but not for %v", c-1, c)
+				}
+			}
+		}
+		if l.refill(now.Add(time.Second)); !l.room(Query{Rank: call.MaxRank, Bytes: 1}) {
+			t.Fatal("no room after a second of rest")
+		}
+	})
+}
+
+// Guards against a budget of zero that lets calls pass.
+func TestLinkWithoutBudget(t *testing.T) {
+	l := NewLink(LinkConfig{})
+	if l.take(epoch, Query{Rank: call.MaxRank}) {
+		t.Fatal("a call passed")
+	}
+}
+
+func BenchmarkLink(b *testing.B) {
+	l := NewLink(LinkConfig{BytesPerSecond: testRate, UploadShare: 0.5})
+	now := epoch
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(10 * time.Millisecond)
+		l.take(now, Query{Bytes: 1000, Rank: call.MaxRank})
+		l.settle(now, 1000)
+	}
+}
--- /dev/null
+++ b/internal/core/routing/picker_test.go
@@ -0,0 +1,207 @@
+package routing
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func newRand(seed uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, 1))
+}
+
+func candidate(i int, zone, region string) Candidate {
+	return Candidate{
+		Address: fmt.Sprint("upstream-", i), Incarnation: 1, Zone: zone, Region: region, Slots: 10,
+		ServingSince: epoch.Add(-time.Hour),
+	}
+}
+
+func drawCandidates(t *rapid.T) []Candidate {
+	var cs []Candidate
+	for i := range rapid.IntRange(0, 8).Draw(t, "upstreams") {
+		c := candidate(i, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"), "west")
+		if c.Zone == "c" {
+			c.Region = "east"
+		}
+		c.Incarnation = call.Incarnation(rapid.IntRange(1, 2).Draw(t, "incarnation"))
+		cs = append(cs, c)
+	}
+	return cs
+}
+
+func drawResult(t *rapid.T) Result {
+	return rapid.SampledFrom([]Result{
+		{Outcome: call.OutcomeAnswered, Latency: time.Millisecond},
+		{Outcome: call.OutcomeAnswered, Latency: time.Second, Cutoff: call.Lowest(call.ClassNormal)},
+		{Outcome: call.OutcomeNotRun, Reason: call.ReasonOverload, Cutoff: call.Lowest(call.ClassHigh)},
+		{Outcome: call.OutcomeUnknown, Reason: call.ReasonConnectionLost},
+		{Outcome: call.OutcomeUnknown, Reason: call.ReasonBackendCrashed},
+	}).Draw(t, "result")
+}
+
+// Guards against ejections that leave a service with less than half of its upstreams, or none, and against a call sent
+// to a farther upstream while a nearer one takes it, or below a valid cutoff when it isn't a probe.
+func TestPickerProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := NewPicker(Config{Zone: "a", Region: "west"}, newRand(rapid.Uint64().Draw(t, "seed")))
+		now := epoch
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 9).Draw(t, "update") == 0 {
+				p.Update(now, drawCandidates(t))
+			}
+			pickAndFinish(t, p, now)
+			if n := p.ejections(now); n > len(p.upstreams)/2 {
+				t.Fatalf("%d of %d upstreams ejected", n, len(p.upstreams))
+			}
+		}
+	})
+}
+
+func pickAndFinish(t *rapid.T, p *Picker, now time.Time) {
+	rank := call.Lowest(call.Class(rapid.IntRange(0, 3).Draw(t, "class")))
+	chosen, err := p.Pick(now, Query{Rank: rank})
+	nearest, usable := numTiers, 0
+	for _, u := range p.upstreams {
+		if u.usable(now, nil) {
+			usable++
+			if !u.refuses(now, rank) {
+				nearest = min(nearest, u.tier)
+			}
+		}
+	}
+	switch {
+	case err == nil && nearest < numTiers && p.tierOf(chosen) != nearest:
+		t.Fatalf("chose tier %d, %d takes the call", p.tierOf(chosen), nearest)
+	case errors.Is(err, ErrNoUpstream) != (usable == 0):
+		t.Fatalf("%v with %d usable upstreams", err, usable)
+	case errors.Is(err, ErrBelowCutoff) && nearest < numTiers:
+		t.Fatalf("%v, but tier %d takes the call", err, nearest)
+	}
+	if err == nil {
+		p.Done(now, chosen.Address, drawResult(t))
+	}
+}
+
+// Guards against a service without upstreams because all of them fail.
+func TestFailingServiceKeepsHalf(t *testing.T) {
+	p := NewPicker(Config{Zone: "a", Region: "west"}, newRand(1))
+	p.Update(epoch, []Candidate{candidate(0, "a", "west"), candidate(1, "a", "west"), candidate(2, "a", "west")})
+	for i := range 1000 {
+		c, err := p.Pick(epoch, Query{})
+		if err != nil {
+			t.Fatalf("call %d: %v", i, err)
+		}
+		p.Done(epoch, c.Address, Result{Reason: call.ReasonConnectionLost})
+	}
+	if n := p.ejections(epoch); n != 1 {
+		t.Fatalf("%d of 3 ejected", n)
+	}
+}
+
+// Guards against hints that outlive a second, and against probes that are missing, too many or not reproducible.
+func TestCutoffHintAndProbes(t *testing.T) {
+	run := func() (probes []int) {
+		p := NewPicker(Config{Zone: "a", Region: "west"}, newRand(7))
+		p.Update(epoch, []Candidate{candidate(0, "a", "west")})
+		hint := Result{Outcome: call.OutcomeNotRun, Reason: call.ReasonOverload, Cutoff: call.Lowest(call.ClassHigh)}
+		p.Done(epoch, "upstream-0", hint)
+		if _, err := p.Pick(epoch, Query{Rank: call.Lowest(call.ClassHigh)}); err != nil {
+			t.Fatalf("rank at the cutoff: %v", err)
+		}
+		for i := range 10000 {
+			if _, err := p.Pick(epoch.Add(HintTTL-1), Query{}); err == nil {
+				probes = append(probes, i)
+			} else if !errors.Is(err, ErrBelowCutoff) {
+				t.Fatal(err)
+			}
+		}
+		if _, err := p.Pick(epoch.Add(HintTTL), Query{}); err != nil {
+			t.Fatalf("after the hint has expired: %v", err)
+		}
+		return probes
+	}
+	first := run()
+	if n := len(first); n < 150 || n > 250 {
+		t.Fatalf("%d probes of 10000 refused calls, want about 200", n)
+	}
+	if second := run(); fmt.Sprint(first) != fmt.Sprint(second) {
+		t.Fatal("the same source gives different probes")
+	}
+}
+
+// Guards against a cold upstream that gets a full share at once, or never gets one.
+func TestColdUpstreamRampsUp(t *testing.T) {
+	share := func(age time.Duration) float64 {
+		p := NewPicker(Config{Zone: "a", Region: "west"}, newRand(3))
+		cold := candidate(0, "a", "west")
+		cold.ServingSince = epoch.Add(-age)
+		p.Update(epoch, []Candidate{cold, candidate(1, "a", "west"), candidate(2, "a", "west")})
+		got := 0
+		for range 300 {
+			if c, err := p.Pick(epoch, Query{}); err == nil && c.Address == cold.Address {
+				got++
+			}
+		}
+		return float64(got) / 300
+	}
+	if s := share(time.Second); s == 0 || s > 0.1 {
+		t.Errorf("share %v after 1 s", s)
+	}
+	if s := share(DefaultRamp); s < 0.3 {
+		t.Errorf("share %v after the ramp", s)
+	}
+}
+
+// Guards against load that follows chance alone: of two upstreams the slower one must get fewer calls.
+func TestSlowerUpstreamGetsFewerCalls(t *testing.T) {
+	p := NewPicker(Config{Zone: "a", Region: "west"}, newRand(3))
+	p.Update(epoch, []Candidate{candidate(0, "a", "west"), candidate(1, "a", "west")})
+	for i, latency := range []time.Duration{10 * time.Millisecond, 50 * time.Millisecond} {
+		p.Done(epoch, fmt.Sprint("upstream-", i), Result{Outcome: call.OutcomeAnswered, Latency: latency})
+	}
+	got := map[string]int{}
+	for range 600 {
+		c, _ := p.Pick(epoch, Query{})
+		got[c.Address]++
+	}
+	if got["upstream-0"] < 4*got["upstream-1"] || got["upstream-1"] == 0 {
+		t.Fatalf("calls in flight: %v, latencies 1:5", got)
+	}
+}
+
+// Guards against new calls to an upstream that answered "leaving".
+func TestLeavingUpstreamIsLeftOut(t *testing.T) {
+	p := NewPicker(Config{Zone: "a", Region: "west"}, newRand(3))
+	p.Update(epoch, []Candidate{candidate(0, "a", "west"), candidate(1, "c", "east")})
+	p.Done(epoch, "upstream-0", Result{Outcome: call.OutcomeNotRun, Reason: call.ReasonLeaving})
+	for range 100 {
+		if c, err := p.Pick(epoch, Query{}); err != nil || c.Address != "upstream-1" {
+			t.Fatalf("%v, %v", c.Address, err)
+		}
+	}
+}
+
+func BenchmarkPickDone(b *testing.B) {
+	p := NewPicker(Config{Zone: "a", Region: "west"}, newRand(1))
+	var cs []Candidate
+	for i := range 10 { // the target has 6,300 upstreams in 670 services
+		cs = append(cs, candidate(i, string(rune('a'+i%3)), "west"))
+	}
+	p.Update(epoch, cs)
+	now := epoch
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		c, _ := p.Pick(now, Query{Rank: call.Lowest(call.ClassHigh), Bytes: 1000})
+		p.Done(now, c.Address, Result{Outcome: call.OutcomeAnswered, Latency: time.Millisecond})
+	}
+}
