Measure the overload decisions on fake time

Cause: the targets of section 1.7 were not measured. Change: package internal/experiment with the sizes of section 1.5, fakes for backend servers, zones and region link, the real core in the daemons, and a naive system with FIFO queues and retries at each hop. Benchmark Overload with a sub-benchmark for each case. Ruled out: counting all completed requests as goodput; a completion above the ideal of its class took the place of a more important one and isn't counted.

--- /dev/null
+++ b/internal/experiment/deployment.go
@@ -0,0 +1,117 @@
+package experiment
+
+import (
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+)
+
+// Deployment is one of the users' installations. Sizes and delays are those of section 1.5 of the design. The design
+// gives no running times, mixes and message sizes; the ones here are chosen so that the service with the fewest slots,
+// which every operation reaches last, is the bottleneck and those above it saturate at a few times its capacity.
+type Deployment struct {
+	Name        string
+	ZoneDelay   time.Duration // one way, between zones of a region
+	RegionDelay time.Duration // one way
+	ClientDelay time.Duration // one way
+	LinkRate    float64       // of the link between the regions, each way, in bytes per second
+	Services    []Service
+	Operations  []Operation
+	Bottleneck  string
+}
+
+// Service is a group of equal upstreams, spread over the zones in turn.
+type Service struct {
+	Name      string
+	Upstreams int
+	Slots     int
+	Own       time.Duration // mean own time
+}
+
+// Operation is a kind of request. The first service of the chain is called by the entry daemon, each other one by the
+// service before it.
+type Operation struct {
+	Name       string
+	Class      call.Class
+	Share      float64 // of the demand
+	Chain      []string
+	Idempotent bool
+	Upload     bool
+	Request    int64 // bytes, on the first hop
+	Response   int64 // bytes
+}
+
+const (
+	zonesPerRegion = 2
+	regions        = 2
+	linkRate       = 30e6 / 8
+	// hopBytes is the size of a child call and of a response without a body.
+	hopBytes = 500
+)
+
+// Deployments returns the two installations.
+func Deployments() []Deployment {
+	return []Deployment{registry(), konvooi()}
+}
+
+func registry() Deployment {
+	return Deployment{
+		Name: "registry", ZoneDelay: 500 * time.Microsecond, RegionDelay: 30 * time.Millisecond,
+		ClientDelay: time.Millisecond, LinkRate: linkRate, Bottleneck: "delegation",
+		Services: []Service{
+			{"lookup", 4, 90, 4 * time.Millisecond},
+			{"holdership", 4, 90, 6 * time.Millisecond},
+			{"docstore", 4, 90, 10 * time.Millisecond},
+			{"delegation", 4, 20, 40 * time.Millisecond},
+		},
+		Operations: []Operation{
+			{"transfer", call.ClassCritical, 0.04, []string{"holdership", "delegation"}, false, false, 1000, 1000},
+			{"allocation", call.ClassHigh, 0.16, []string{"holdership", "delegation"}, false, false, 1000, 1000},
+			{"lookup", call.ClassNormal, 0.5, []string{"lookup", "holdership", "delegation"}, true, false, 1000, 12000},
+			{"upload", call.ClassLow, 0.3, []string{"docstore", "holdership", "delegation"}, true, true, 60000, 500},
+		},
+	}
+}
+
+func konvooi() Deployment {
+	return Deployment{
+		Name: "konvooi", ZoneDelay: 1500 * time.Microsecond, RegionDelay: 30 * time.Millisecond,
+		ClientDelay: 8 * time.Millisecond, LinkRate: linkRate, Bottleneck: "brandstof",
+		Services: []Service{
+			{"routeplan", 5, 80, 8 * time.Millisecond},
+			{"grenspost", 4, 100, 6 * time.Millisecond},
+			{"vrachtdoc", 4, 100, 10 * time.Millisecond},
+			{"brandstof", 4, 30, 60 * time.Millisecond},
+		},
+		Operations: []Operation{
+			{"crossing", call.ClassCritical, 0.04, []string{"grenspost", "brandstof"}, false, false, 1000, 1000},
+			{"fuel-stop", call.ClassHigh, 0.16, []string{"routeplan", "brandstof"}, false, false, 1000, 1000},
+			{"route", call.ClassNormal, 0.5, []string{"routeplan", "grenspost", "brandstof"}, true, false, 1000, 12000},
+			{"manifest", call.ClassLow, 0.3, []string{"vrachtdoc", "grenspost", "brandstof"}, true, true, 60000, 500},
+		},
+	}
+}
+
+func (d *Deployment) service(name string) *Service {
+	for i := range d.Services {
+		if d.Services[i].Name == name {
+			return &d.Services[i]
+		}
+	}
+	panic("unknown service " + name)
+}
+
+// capacity returns the requests per second that a service runs.
+func (d *Deployment) capacity(name string) float64 {
+	s := d.service(name)
+	return float64(s.Upstreams*s.Slots) / s.Own.Seconds()
+}
+
+// daemons returns the number of upstreams in all services.
+func (d *Deployment) daemons() int {
+	n := 0
+	for _, s := range d.Services {
+		n += s.Upstreams
+	}
+	return n
+}
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,42 @@
+package experiment
+
+import (
+	"testing"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/retry"
+)
+
+// Guards against figures that differ between runs, and against a request with more retries than its budget.
+func TestRunIsDeterministic(t *testing.T) {
+	for _, d := range Deployments() {
+		c := Case{Demand: 1.5, Base: 0.05, Slow: 2, Hard: true, Trigger: 500 * time.Millisecond}
+		first := Run(d, c, true, 1)
+		if second := Run(d, c, true, 1); first != second {
+			t.Errorf("%s: %+v, then %+v", d.Name, first, second)
+		}
+		if first.MaxRetries > retry.DefaultBudget {
+			t.Errorf("%s: %d retries of one request", d.Name, first.MaxRetries)
+		}
+	}
+}
+
+// BenchmarkOverload reports the figures of every case in both deployments, for the core and for the naive system.
+func BenchmarkOverload(b *testing.B) {
+	for _, d := range Deployments() {
+		for _, c := range Cases() {
+			b.Run(d.Name+"/"+c.Name, func(b *testing.B) {
+				for b.Loop() {
+					guarded := Run(d, c, true, 1)
+					naive := Run(d, c, false, 1)
+					b.ReportMetric(guarded.GoodputOfIdeal, "goodput/ideal")
+					b.ReportMetric(naive.GoodputOfIdeal, "naive-goodput/ideal")
+					b.ReportMetric(guarded.Recovery.Seconds(), "recovery-s")
+					b.ReportMetric(naive.Recovery.Seconds(), "naive-recovery-s")
+					b.ReportMetric(guarded.TopClassShed, "top-class-shed")
+					b.ReportMetric(float64(guarded.MaxRetries), "retries/request-max")
+				}
+			})
+		}
+	}
+}
