Scale the excess above the cutoff with the noise of a window

Cause: a slow deep service admits 10 requests per window and upstream, which vary by 32%; an excess of half is too small there, and its slots were 92% in use (trace of 100 ms samples: 18.4 of 20 running, limit 19.7). Change: the target is the admitted number plus four times its square root.

--- a/internal/core/admission/cutoff.go
+++ b/internal/core/admission/cutoff.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -13,9 +14,10 @@
 	cutoffWindow = 100 * time.Millisecond
 	// cutoffSamples is the number of offered ranks kept per window; the cutoff is exact to 1/512 of the offered load.
 	cutoffSamples = 512
-	// cutoffMargin is the ratio of offered to admitted requests that the cutoff aims at. A window of 50 admissions varies
-	// by 14%, so half again as many offers keep the slots in use through three standard deviations.
-	cutoffMargin = 1.5
+	// cutoffDeviations is the excess of offered over admitted requests that the cutoff aims at, in standard deviations
+	// of the number admitted in a window (its square root, as for random arrivals). It keeps all slots in use at any
+	// number per window and shows that the overload continues.
+	cutoffDeviations = 4
 	// cutoffStep is the part of the class's rank range that the first step down covers. Steps double while there is no
 	// overload, so that the cutoff crosses all classes within ten windows.
 	cutoffStep = call.Rank(1) << 24 / 128
@@ -68,7 +70,7 @@
 }
 
 func (c *cutoff) move(idle bool) {
-	target := cutoffMargin * float64(c.admissions)
+	target := float64(c.admissions) + cutoffDeviations*math.Sqrt(float64(c.admissions))
 	switch {
 	case c.sheds > 0 && float64(c.above) > target:
 		c.raise(target)
