Start a limit trial only after two slow windows

Cause: a trace of deep-slow showed that the first trial began in a window that still held requests from before the slowdown; it compared with a mean of 15.7 running of 20 and cut the limit to 11 instead of 14 for 1.1 s. Change: the second slow window in succession starts the trial. Ruled out: a cut relative to the limit rather than the mean running; the two windows then differ too little to tell the causes apart.

--- a/internal/core/admission/limiter.go
+++ b/internal/core/admission/limiter.go
@@ -38,6 +38,7 @@
 	limit    float64
 	baseline float64 // seconds
 	verified bool    // a trial has shown that the baseline doesn't depend on concurrency
+	slow     bool    // the last window was slow enough for a trial
 	window   window
 	trial    trial
 }
@@ -138,9 +139,14 @@
 		l.baseline = own
 	}
 	inDemand := l.window.queued || l.window.peak >= l.current()
+	slow := own > tolerance*l.baseline || (inDemand && !l.verified)
+	// The first slow window also holds requests from before the change. A trial compares with one that doesn't.
+	confirmed := slow && l.slow
+	l.slow = slow && !confirmed
 	switch {
-	case own > tolerance*l.baseline, inDemand && !l.verified:
+	case confirmed:
 		l.startTrial(own, running)
+	case slow:
 	case inDemand:
 		l.limit += max(1, l.limit*growth)
 		l.clamp()
