Keep waiting requests of the same class when one is overdue

A trace of the expiries showed that an overdue high request took 2 to 6 fresh ones of its own class with it; the queue was then empty and slots went to later, lower requests. Change: expiry refuses the overdue requests and all of a lower class, no longer all of lower rank. The order between classes is kept. Ruled out: refusing the overdue alone; the property then fails (seen before).

--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -208,15 +208,17 @@
 	return effects
 }
 
-// expire refuses the requests that have waited longer than the queue delay, together with all of lower rank: as slots
-// are given by falling rank, those have no better prospect.
+// expire refuses the requests that have waited longer than the queue delay, together with all of a lower class than the
+// highest of them: as slots are given by falling rank, those have no better prospect, and none may be left waiting.
 func (c *Controller) expire(now time.Time, effects []Effect) []Effect {
 	if !c.queue.due(now, c.cfg.QueueDelay) {
 		return effects
 	}
-	from := c.queue.firstExpired(now, c.cfg.QueueDelay)
-	for n := c.queue.len(); n > from; n-- {
-		effects = c.shed(effects)
+	highest := c.queue.highestExpired(now, c.cfg.QueueDelay)
+	for i := c.queue.len() - 1; i >= 0; i-- {
+		if w := c.queue.at(i); w.Rank.Class() < highest || now.Sub(w.since) > c.cfg.QueueDelay {
+			effects = c.shed(i, effects)
+		}
 	}
 	for i := c.queue.len() - 1; i >= 0; i-- {
 		if c.tooLate(now, c.queue.at(i).Ticket) {
@@ -226,17 +228,17 @@
 	return effects
 }
 
-// shedExcess shortens the queue to its bound.
+// shedExcess refuses the waiting requests of lowest rank until the queue is within its bound.
 func (c *Controller) shedExcess(effects []Effect) []Effect {
 	for bound := c.queueBound(); c.queue.len() > bound; {
-		effects = c.shed(effects)
+		effects = c.shed(c.queue.len()-1, effects)
 	}
 	return effects
 }
 
-// shed refuses the waiting request of lowest rank.
-func (c *Controller) shed(effects []Effect) []Effect {
-	w := c.queue.remove(c.queue.len() - 1)
+// shed refuses a waiting request.
+func (c *Controller) shed(i int, effects []Effect) []Effect {
+	w := c.queue.remove(i)
 	c.cutoff.shed(w.Rank)
 	return append(effects, Effect{w.ID, Refused, call.ReasonOverload})
 }
--- a/internal/core/admission/queue.go
+++ b/internal/core/admission/queue.go
@@ -62,16 +62,17 @@
 	return len(q.items) > 0 && now.Sub(q.oldest) > delay
 }
 
-// firstExpired returns the index of the highest request that has waited longer than the delay, or the length.
-func (q *queue) firstExpired(now time.Time, delay time.Duration) int {
+// highestExpired returns the class of the highest request that has waited longer than the delay, or the lowest class.
+func (q *queue) highestExpired(now time.Time, delay time.Duration) call.Class {
+	highest := call.ClassLow
 	q.oldest = now
 	for i := range q.items {
-		if now.Sub(q.items[i].since) > delay {
-			return i
-		}
-		if q.items[i].since.Before(q.oldest) {
-			q.oldest = q.items[i].since
+		w := &q.items[i]
+		if now.Sub(w.since) > delay {
+			highest = max(highest, w.Rank.Class())
+		} else if w.since.Before(q.oldest) {
+			q.oldest = w.since
 		}
 	}
-	return len(q.items)
+	return highest
 }
