--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -103,7 +103,7 @@
 	if req.account.Left() == 0 {
 		return false
 	}
-	if !s.allowRetry(d.now()) {
+	if !s.allowRetry(d.now(), req.rank.Class()) {
 		d.report.retriesExhausted(req.service)
 		return false
 	}
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"guavapoint.example/guavapoint/internal/core/call"
 	"guavapoint.example/guavapoint/internal/core/membership"
 	"guavapoint.example/guavapoint/internal/core/retry"
 	"guavapoint.example/guavapoint/internal/core/routing"
@@ -24,10 +25,10 @@
 	s.ratio.First(now)
 }
 
-func (s *service) allowRetry(now time.Time) bool {
+func (s *service) allowRetry(now time.Time, c call.Class) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ratio.Allow(now)
+	return s.ratio.AllowClass(now, c)
 }
 
 func (s *service) pick(now time.Time, q routing.Query) (routing.Candidate, error) {
