Make membership converge under every tested fault

Cause: properties over random schedules of kills, cuts, freezes, delays, duplicates, flapping, zone restarts, address reuse and clocks wrong by up to 3 h found five ways to stay apart. Change, each with what was seen: - A zone that lost all who knew a member never told the others: a record of the own zone from another zone is now taken as suspect, and monitors decide. - Two zones held only those for alive that were gone: one exchange in four may go to a member held for down (Node.RemoteMember, also used by the relay). - A member alone tried one of its bootstrap peers every 10 s: now all, every 2 s. - A node resumed after a long pause took forgotten members from its buffers: it ignores messages for 1 s after discarding its table. - A first version compared a record's Seq with the local clock and kept members with wrong clocks out; it is replaced by the time since the node's start. Ruled out: timestamps in every message, for the same reason. Records of a zone without any live member stay as last reported: nobody can tell a lost zone from a cut one. Routing has its own ejection.

--- a/internal/control/locked.go
+++ b/internal/control/locked.go
@@ -69,6 +69,13 @@
 	l.node.SyncWith(now, address)
 }
 
+// RemoteMember returns a member of another zone.
+func (l *LockedNode) RemoteMember() (string, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.node.RemoteMember()
+}
+
 // Tick lets time pass.
 func (l *LockedNode) Tick(now time.Time) {
 	l.mu.Lock()
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -48,6 +48,7 @@
 	Summary(now time.Time) membership.Message
 	Step(now time.Time, m membership.Message)
 	SyncWith(now time.Time, address string)
+	RemoteMember() (string, bool)
 }
 
 // Relay connects a zone to the platform and to the other zones, if it obtains one of the zone's leases. It is safe for
@@ -271,32 +272,11 @@
 		interval = outageExchangeInterval
 	}
 	r.nextExchange = now.Add(interval/2 + r.spread(interval))
-	if to, ok := r.remoteMember(); ok {
+	if to, ok := r.members.RemoteMember(); ok {
 		r.members.SyncWith(now, to)
 	}
 }
 
-// remoteMember returns a random alive member of a random other zone.
-func (r *Relay) remoteMember() (string, bool) {
-	self := r.members.Self()
-	byZone := make(map[string][]string)
-	var zones []string
-	for _, m := range r.members.Members() {
-		if m.Zone == self.Zone || !m.Alive() {
-			continue
-		}
-		if byZone[m.Zone] == nil {
-			zones = append(zones, m.Zone)
-		}
-		byZone[m.Zone] = append(byZone[m.Zone], m.Address)
-	}
-	if len(zones) == 0 {
-		return "", false
-	}
-	addresses := byZone[zones[r.rng.IntN(len(zones))]]
-	return addresses[r.rng.IntN(len(addresses))], true
-}
-
 // WatchConfig reads the configuration and follows it until the context or the watch ends.
 func (r *Relay) WatchConfig(ctx context.Context) error {
 	return r.follow(ctx, ConfigKey, func(kv platform.KV) error {
--- /dev/null
+++ b/internal/core/membership/converge_test.go
@@ -0,0 +1,227 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// healLimit bounds the convergence after healing: suspicion of what died last (8 s), contact with members held for
+// down (10 s on average, at worst several rounds), and one exchange between zones and its gossip.
+const healLimit = 90 * time.Second
+
+// act applies one random fault.
+func (s *sim) act(t *rapid.T) {
+	a := rapid.SampledFrom(s.order).Draw(t, "node")
+	n := s.nodes[a]
+	switch rapid.SampledFrom([]string{"kill", "start", "reuse", "wrong clock", "cut", "isolate", "heal", "freeze", "unfreeze", "flap",
+		"delay", "duplicate", "restart zone"}).Draw(t, "action") {
+	case "kill":
+		s.kill(a)
+	case "start":
+		s.start(a, "lookup")
+	case "reuse":
+		s.start(a, "docstore")
+	case "wrong clock":
+		n.skew = time.Duration(rapid.IntRange(-180, 180).Draw(t, "minutes")) * time.Minute
+		s.start(a, "lookup")
+	case "cut":
+		for _, b := range s.order {
+			s.nodes[b].side = rapid.IntRange(0, 1).Draw(t, "side")
+		}
+	case "isolate":
+		n.side = 9
+	case "heal":
+		s.heal()
+	case "freeze":
+		n.frozen = n.node != nil
+	case "unfreeze":
+		s.unfreeze(a)
+	case "flap":
+		if n.node != nil && !n.frozen {
+			for _, state := range []State{StateLeaving, StateServing} {
+				n.node.SetState(s.time(a), state)
+			}
+		}
+	case "delay":
+		s.maxDelay = rapid.IntRange(1, 8).Draw(t, "delay")
+	case "duplicate":
+		s.duplicate = rapid.Float64Range(0, 0.5).Draw(t, "share")
+	case "restart zone":
+		zone := rapid.SampledFrom(s.zones).Draw(t, "zone")
+		for _, b := range s.order {
+			s.nodes[b].side = 0
+			if zoneOf(b) == zone {
+				s.nodes[b].side = 1
+				s.start(b, "lookup")
+			}
+		}
+	}
+}
+
+func (s *sim) heal() {
+	for _, a := range s.order {
+		s.nodes[a].side = 0
+	}
+}
+
+// Guards against tables that stay different and live members that stay down, under kills, cuts, freezes, delays,
+// duplicates, flapping, restart of a zone while partitioned, and reuse of addresses.
+func TestMembersConverge(t *testing.T) {
+	var longest time.Duration
+	rapid.Check(t, func(t *rapid.T) {
+		zones := rapid.IntRange(1, 3).Draw(t, "zones")
+		s := newSim(Config{}, zones, rapid.IntRange(2, 6).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"))
+		s.startAll()
+		for range rapid.IntRange(1, 25).Draw(t, "actions") {
+			s.run(time.Duration(rapid.IntRange(0, 60).Draw(t, "pause")) * simStep)
+			s.act(t)
+		}
+		s.heal()
+		s.maxDelay, s.duplicate = 1, 0
+		for _, a := range s.order {
+			s.unfreeze(a)
+		}
+		took, last := s.converge(healLimit)
+		if last != "" {
+			t.Fatalf("after %v: %s", took, last)
+		}
+		longest = max(longest, took)
+	})
+	t.Logf("longest convergence %v", longest)
+}
+
+// Guards against two zones that never meet again, because each holds only those of the other for alive that are gone.
+func TestZonesThatHoldEachOtherForDownMeet(t *testing.T) {
+	s := newSim(Config{}, 2, 2, 1)
+	s.startAll()
+	s.run(40 * time.Second)
+	s.noStore = true
+	for z := range 2 {
+		s.nodes[simAddress(z, 1)].side = 1
+	}
+	s.run(30 * time.Second)
+	s.kill(simAddress(0, 1))
+	s.kill(simAddress(1, 0))
+	s.heal()
+	if took, last := s.converge(healLimit); last != "" {
+		t.Fatalf("after %v: %s", took, last)
+	}
+}
+
+// Guards against a member that is forgotten and comes back from a zone that was cut off all the time, or from a node
+// that was frozen, by its table or by the old messages in its buffers.
+func TestForgottenMembersStayForgotten(t *testing.T) {
+	for _, keepBuffers := range []bool{false, true} {
+		checkForgotten(t, keepBuffers)
+	}
+}
+
+func checkForgotten(t *testing.T, keepBuffers bool) {
+	t.Helper()
+	cfg := Config{ForgetAfter: 2 * time.Minute}
+	s := newSim(cfg, 2, 6, 1)
+	s.startAll()
+	s.run(40 * time.Second)
+	if d := s.disagreement(); d != "" {
+		t.Fatal(d)
+	}
+	gone := simAddress(0, 4)
+	old := s.nodes[gone].node.Self()
+	sleeper := simAddress(0, 5)
+	s.nodes[sleeper].frozen = true
+	for _, a := range s.order {
+		if zoneOf(a) == "z1" {
+			s.nodes[a].side = 1
+		}
+	}
+	s.kill(gone)
+	s.run(cfg.ForgetAfter + 40*time.Second)
+	watcher := s.nodes[simAddress(0, 1)].node
+	if r, known := watcher.Member(gone); known {
+		t.Fatalf("not forgotten: %v", r)
+	}
+	s.heal()
+	s.nodes[sleeper].inbox = nil
+	if keepBuffers {
+		s.nodes[sleeper].inbox = []Message{{
+			Kind: KindGossip, From: simAddress(0, 1), To: sleeper, Zone: "z0", Records: []Record{old},
+		}}
+	}
+	s.unfreeze(sleeper)
+	for range 240 {
+		s.step()
+		for _, a := range s.live() {
+			if r, known := s.nodes[a].node.Member(gone); known && r.State < StateSuspect && zoneOf(a) == "z0" {
+				t.Fatalf("%s holds %v again", a, r)
+			}
+		}
+	}
+}
+
+// Guards against members that other zones hold for alive for ever, because all who knew them are gone with them.
+func TestZoneThatReturnsSmallerIsNoticed(t *testing.T) {
+	s := newSim(Config{}, 2, 4, 1)
+	s.startAll()
+	s.run(40 * time.Second)
+	for i := range 4 {
+		s.kill(simAddress(0, i))
+	}
+	s.start(simAddress(0, 1), "lookup")
+	if took, last := s.converge(healLimit); last != "" {
+		t.Fatalf("after %v: %s", took, last)
+	}
+}
+
+// Guards against a new member that tries bootstrap peers that are gone, while one is there.
+func TestNewMemberFindsTheLivingPeer(t *testing.T) {
+	for seed := range uint64(8) {
+		s := newSim(Config{}, 1, 6, seed)
+		for _, i := range []int{2, 3, 4} {
+			s.start(simAddress(0, i), "lookup")
+		}
+		s.run(20 * time.Second)
+		s.start(simAddress(0, 5), "lookup")
+		if took, last := s.converge(4 * time.Second); last != "" {
+			t.Errorf("after %v: %s", took, last)
+		}
+	}
+}
+
+// Guards against suspicions by a daemon that was paused itself: others were silent only to it.
+func TestPausedDaemonSuspectsNobody(t *testing.T) {
+	s := newSim(Config{}, 1, 6, 1)
+	s.startAll()
+	s.run(20 * time.Second)
+	paused := s.nodes[simAddress(0, 3)]
+	s.run(time.Second)
+	paused.frozen = true
+	s.run(30 * time.Second)
+	paused.frozen, paused.inbox = false, nil
+	for range 8 {
+		s.now = s.now.Add(simStep)
+		paused.node.Tick(s.now)
+	}
+	for _, r := range paused.node.Ready().Changes {
+		if r.Address != simAddress(0, 3) {
+			t.Errorf("changed %v", r)
+		}
+	}
+}
+
+// Guards against records that are down and never forgotten, because nodes return them to each other in tables.
+func TestTableDoesNotReturnForgottenRecords(t *testing.T) {
+	s := newSim(Config{}, 1, 2, 1)
+	s.startAll()
+	s.run(10 * time.Second)
+	a, b := s.nodes[simAddress(0, 0)].node, s.nodes[simAddress(0, 1)].node
+	gone := Record{Address: simAddress(0, 7), Zone: "z0", Seq: 5, State: StateDown}
+	for kind, want := range map[Kind]bool{KindTable: false, KindGossip: true} {
+		a.Step(s.now, Message{Kind: kind, From: b.Self().Address, To: a.Self().Address, Zone: "z0", Records: []Record{gone}})
+		if _, known := a.Member(gone.Address); known != want {
+			t.Errorf("kind %d: known %v, want %v", kind, known, want)
+		}
+		a.table.remove(gone.Address)
+	}
+}
--- a/internal/core/membership/node.go
+++ b/internal/core/membership/node.go
@@ -62,6 +62,10 @@
 	return c
 }
 
+// resumeDrain is how long a node ignores messages after a long pause: what it finds in its buffers then is as old as the
+// pause and may hold members that the others have forgotten.
+const resumeDrain = time.Second
+
 // Output is what a node wants done.
 type Output struct {
 	// Messages are to be sent; each names its receiver in To. Losing one is harmless.
@@ -86,7 +90,9 @@
 	contacts []string
 
 	started       bool
+	startedAt     time.Time
 	lastSeen      time.Time // time of the last input
+	deafUntil     time.Time // until when messages are ignored after a long pause
 	nextHeartbeat time.Time
 	nextGossip    time.Time
 	nextSync      time.Time
@@ -213,12 +219,14 @@
 	}
 	if gap >= n.cfg.ForgetAfter/2 {
 		n.discardOthers()
+		n.deafUntil = now.Add(resumeDrain)
 	}
 	n.nextSync = now
 }
 
 func (n *Node) start(now time.Time) {
 	n.started = true
+	n.startedAt = now
 	n.lastSeen = now
 	n.self.Seq = max(n.self.Seq, uint64(max(now.UnixMilli(), 1)))
 	n.nextHeartbeat = now
@@ -262,7 +270,7 @@
 		n.nextSync = now.Add(n.jitter(n.cfg.SyncInterval))
 		n.forget(now)
 		n.rotateContacts()
-		n.sync()
+		n.sync(now)
 	}
 }
 
--- /dev/null
+++ b/internal/core/membership/sim_test.go
@@ -0,0 +1,239 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+)
+
+const simStep = 250 * time.Millisecond
+
+// simNode is one address with the daemon that runs there.
+type simNode struct {
+	node   *Node // nil while killed
+	frozen bool
+	inbox  []Message     // arrived while frozen
+	side   int           // nodes on different sides of a cut don't reach each other
+	skew   time.Duration // of the daemon's clock
+}
+
+// sim runs nodes over a network that cuts, delays and duplicates. Everything follows from the seed.
+type sim struct {
+	cfg       Config
+	now       time.Time
+	rng       *rand.Rand
+	nodes     map[string]*simNode
+	order     []string
+	zones     []string
+	flight    map[time.Time][]Message
+	maxDelay  int     // steps
+	duplicate float64 // share of messages that arrive twice
+	starts    uint64
+	noStore   bool // the platform doesn't tell zones of each other
+	onSend    func(Message)
+}
+
+func newSim(cfg Config, zones, size int, seed uint64) *sim {
+	s := &sim{
+		cfg: cfg, now: time.Unix(1_800_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)),
+		nodes: make(map[string]*simNode), flight: make(map[time.Time][]Message), maxDelay: 1, onSend: func(Message) {},
+	}
+	for z := range zones {
+		zone := fmt.Sprintf("z%d", z)
+		s.zones = append(s.zones, zone)
+		for i := range size {
+			a := simAddress(z, i)
+			s.order = append(s.order, a)
+			s.nodes[a] = &simNode{}
+		}
+	}
+	return s
+}
+
+func simAddress(zone, i int) string {
+	return fmt.Sprintf("10.%d.%d.%d:7000", zone, i/250, i%250)
+}
+
+func zoneOf(address string) string {
+	var z int
+	if _, err := fmt.Sscanf(address, "10.%d.", &z); err != nil {
+		panic(err)
+	}
+	return fmt.Sprintf("z%d", z)
+}
+
+// start runs a new daemon at an address, which knows three bootstrap peers of its zone.
+func (s *sim) start(address, service string) {
+	s.starts++
+	var z int
+	if _, err := fmt.Sscanf(address, "10.%d.", &z); err != nil {
+		panic(err)
+	}
+	self := Record{
+		Address: address, CallAddress: address[:len(address)-4] + "8000", Service: service, Zone: zoneOf(address),
+		Region: "kingston", Incarnation: call.Incarnation(s.starts<<32 | s.rng.Uint64N(1<<32)),
+		State: StateServing, Slots: 90,
+	}
+	peers := []string{simAddress(z, 0), simAddress(z, 1), simAddress(z, 2)}
+	n := s.nodes[address]
+	n.node = New(s.cfg, self, peers, rand.New(rand.NewPCG(s.rng.Uint64(), s.starts)))
+	n.frozen, n.inbox = false, nil
+}
+
+func (s *sim) startAll() {
+	for _, a := range s.order {
+		s.start(a, "lookup")
+	}
+}
+
+func (s *sim) kill(address string) {
+	n := s.nodes[address]
+	n.node, n.frozen, n.inbox = nil, false, nil
+}
+
+func (s *sim) unfreeze(address string) {
+	n := s.nodes[address]
+	if n.node == nil || !n.frozen {
+		return
+	}
+	n.frozen = false
+	for _, m := range n.inbox {
+		n.node.Step(s.time(address), m)
+	}
+	n.inbox = nil
+}
+
+func (s *sim) live() []string {
+	var live []string
+	for _, a := range s.order {
+		if n := s.nodes[a]; n.node != nil && !n.frozen {
+			live = append(live, a)
+		}
+	}
+	return live
+}
+
+// relay lets the first two live members of each zone compare tables with a member of another zone every 5 s, as
+// relays do while the platform is down.
+func (s *sim) relay() {
+	if s.now.UnixMilli()%5000 != 0 || len(s.zones) == 1 {
+		return
+	}
+	seen := make(map[string]int)
+	for _, a := range s.live() {
+		zone := zoneOf(a)
+		if seen[zone]++; seen[zone] > 2 {
+			continue
+		}
+		node := s.nodes[a].node
+		remote, ok := node.RemoteMember()
+		// A zone that isn't in the table at all is learned from summaries in the platform, at times.
+		for ok = ok && (s.noStore || s.rng.IntN(8) > 0); !ok; {
+			remote = s.order[s.rng.IntN(len(s.order))]
+			ok = zoneOf(remote) != zone
+		}
+		node.SyncWith(s.time(a), remote)
+	}
+}
+
+// time returns the time by a daemon's clock.
+func (s *sim) time(address string) time.Time {
+	return s.now.Add(s.nodes[address].skew)
+}
+
+func (s *sim) step() {
+	s.now = s.now.Add(simStep)
+	arrived := s.flight[s.now]
+	delete(s.flight, s.now)
+	for _, m := range arrived {
+		s.deliver(m)
+	}
+	s.relay()
+	for _, a := range s.order {
+		n := s.nodes[a]
+		if n.node == nil || n.frozen {
+			continue
+		}
+		n.node.Tick(s.time(a))
+		for _, m := range n.node.Ready().Messages {
+			s.send(m)
+		}
+	}
+}
+
+func (s *sim) send(m Message) {
+	s.onSend(m)
+	copies := 1
+	if s.rng.Float64() < s.duplicate {
+		copies = 2
+	}
+	for range copies {
+		at := s.now.Add(time.Duration(1+s.rng.IntN(s.maxDelay)) * simStep)
+		s.flight[at] = append(s.flight[at], m)
+	}
+}
+
+func (s *sim) deliver(m Message) {
+	from, to := s.nodes[m.From], s.nodes[m.To]
+	if to == nil || to.node == nil || from.side != to.side {
+		return
+	}
+	if to.frozen {
+		to.inbox = append(to.inbox, m)
+		return
+	}
+	to.node.Step(s.time(m.To), m)
+}
+
+func (s *sim) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.step()
+	}
+}
+
+// disagreement returns the first difference between two live nodes' tables, or between a table and what is true, or
+// "". Of a zone without live members nobody can tell who is gone, so its records may stay.
+func (s *sim) disagreement() string {
+	live := s.live()
+	truth := make(map[string]Record, len(live))
+	zones := make(map[string]bool)
+	for _, a := range live {
+		truth[a] = s.nodes[a].node.Self()
+		zones[zoneOf(a)] = true
+		if first := live[0]; s.nodes[a].node.Hash() != s.nodes[first].node.Hash() {
+			return fmt.Sprintf("tables differ: %s has %v\n%s has %v", first, s.nodes[first].node.Members(), a,
+				s.nodes[a].node.Members())
+		}
+	}
+	for _, a := range live {
+		n := 0
+		for _, r := range s.nodes[a].node.Members() {
+			want, alive := truth[r.Address]
+			switch {
+			case alive && r != want:
+				return fmt.Sprintf("%s holds %v, want %v", a, r, want)
+			case !alive && r.Alive() && zones[r.Zone]:
+				return fmt.Sprintf("%s holds %v, which is gone", a, r)
+			case alive:
+				n++
+			}
+		}
+		if n != len(live) {
+			return fmt.Sprintf("%s knows %d of %d members", a, n, len(live))
+		}
+	}
+	return ""
+}
+
+// converge runs until all live nodes agree with the truth and returns the time it took and the last disagreement.
+func (s *sim) converge(limit time.Duration) (time.Duration, string) {
+	begin := s.now
+	last := s.disagreement()
+	for last != "" && s.now.Sub(begin) < limit {
+		s.run(time.Second)
+		last = s.disagreement()
+	}
+	return s.now.Sub(begin), last
+}
--- a/internal/core/membership/step.go
+++ b/internal/core/membership/step.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math/bits"
+	"slices"
 	"time"
 )
 
@@ -12,12 +13,15 @@
 	// maxRelayed is the largest number of changes from one exchange within the zone that are gossiped on. A larger
 	// difference is the start of a node, of which the others need no news.
 	maxRelayed = 16
+	// joinGrace is the time after its start in which a node gets to know the members of its zone. Until then it
+	// would suspect all that another zone names.
+	joinGrace = 30 * time.Second
 )
 
 // Step handles a message. Messages for other receivers, and those a node sent to itself, are ignored.
 func (n *Node) Step(now time.Time, m Message) {
 	n.observe(now)
-	if m.From == n.self.Address || (m.To != n.self.Address && m.Kind != KindSummary) {
+	if now.Before(n.deafUntil) || m.From == n.self.Address || (m.To != n.self.Address && m.Kind != KindSummary) {
 		return
 	}
 	near := m.Zone == n.self.Zone
@@ -95,6 +99,9 @@
 		if !n.acceptUnknown(r, m) {
 			return false
 		}
+		if r.Zone == n.self.Zone && m.Zone != n.self.Zone {
+			r.State = max(r.State, StateSuspect)
+		}
 		n.store(now, r)
 		return true
 	}
@@ -114,13 +121,17 @@
 // acceptUnknown decides on a record of an address that isn't in the table. It may be one that was forgotten:
 //   - A record that is down is taken from gossip only, which ends after a bounded number of transmissions. From
 //     tables, nodes that forget at different times would return it to each other for ever.
-//   - A record of the own zone isn't taken from another zone, which may have been cut off since before the member
-//     was forgotten here. Within the zone, a member that is gone has monitors that notice.
+//   - A record of the own zone that comes from another zone is taken as suspect. The other zone may have been cut off
+//     since before the member was forgotten here, or this zone may have lost all who knew the member. Its monitors
+//     find out, and the other zone learns that it is down. A node that has just started leaves this to others.
 func (n *Node) acceptUnknown(r Record, m Message) bool {
 	if !r.Alive() && m.Kind != KindGossip {
 		return false
 	}
-	return r.Zone != n.self.Zone || m.Zone == n.self.Zone
+	if r.Zone != n.self.Zone || m.Zone == n.self.Zone {
+		return true
+	}
+	return n.lastSeen.Sub(n.startedAt) >= joinGrace
 }
 
 // refute answers a record of this node's own address that is greater than its own: a suspicion, or the record of an
@@ -144,11 +155,42 @@
 	}
 }
 
+// RemoteMember returns a member of a random other zone for a relay to exchange tables with. One choice in four may be
+// a member held for down: after two partitions at once, those held for alive may be the ones that are gone.
+func (n *Node) RemoteMember() (string, bool) {
+	anyState := n.rng.IntN(4) == 0
+	zones := make([]string, 0, len(n.table.byZone))
+	for zone := range n.table.byZone {
+		if zone != n.self.Zone {
+			zones = append(zones, zone)
+		}
+	}
+	slices.Sort(zones) // maps have no order, and the choice must follow from the random source
+	n.rng.Shuffle(len(zones), func(i, j int) { zones[i], zones[j] = zones[j], zones[i] })
+	for _, zone := range zones {
+		rs := n.table.ofZone(zone)
+		if !anyState {
+			rs = slices.DeleteFunc(rs, func(r Record) bool { return !r.Alive() })
+		}
+		if len(rs) > 0 {
+			return rs[n.rng.IntN(len(rs))].Address, true
+		}
+	}
+	return "", false
+}
+
 // sync compares tables with a random member of the zone, and with one that is down or a bootstrap peer: after a
-// partition, members of both sides hold each other for down and nobody else would contact them.
-func (n *Node) sync() {
+// partition, members of both sides hold each other for down and nobody else would contact them. A node that knows no
+// member tries all bootstrap peers, of which some may be gone.
+func (n *Node) sync(now time.Time) {
 	digest := []uint64{n.table.hash()}
 	others := n.currentRing().addresses
+	if len(others) == 1 {
+		for _, p := range n.peers {
+			n.send(Message{Kind: KindDigest, To: p, Hashes: digest})
+		}
+		n.hasten(now)
+	}
 	if len(others) > 1 {
 		to := others[n.rng.IntN(len(others))]
 		if to == n.self.Address {
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -25,13 +25,19 @@
 // hashes: nodes forget them at different times, and that is no difference worth an exchange.
 type table struct {
 	entries map[string]*entry
+	// byZone holds the same entries by zone and address.
+	byZone  map[string]map[string]*entry
 	buckets [numBuckets]uint64
 	// alive counts the records of each zone that aren't down.
 	alive map[string]int
 }
 
 func newTable() *table {
-	return &table{entries: make(map[string]*entry), alive: make(map[string]int)}
+	return &table{
+		entries: make(map[string]*entry),
+		byZone:  make(map[string]map[string]*entry),
+		alive:   make(map[string]int),
+	}
 }
 
 func (t *table) get(address string) (Record, bool) {
@@ -47,12 +53,17 @@
 	since := now
 	if old, ok := t.entries[r.Address]; ok {
 		t.account(old, -1)
+		delete(t.byZone[old.rec.Zone], r.Address)
 		if old.rec.State == r.State && old.rec.Seq == r.Seq {
 			since = old.since
 		}
 	}
 	e := &entry{rec: r, since: since, hash: hashRecord(r)}
 	t.entries[r.Address] = e
+	if t.byZone[r.Zone] == nil {
+		t.byZone[r.Zone] = make(map[string]*entry)
+	}
+	t.byZone[r.Zone][r.Address] = e
 	t.account(e, 1)
 }
 
@@ -60,6 +71,7 @@
 	if e, ok := t.entries[address]; ok {
 		t.account(e, -1)
 		delete(t.entries, address)
+		delete(t.byZone[e.rec.Zone], address)
 	}
 }
 
@@ -106,10 +118,8 @@
 // ofZone returns the records of one zone, sorted by address.
 func (t *table) ofZone(zone string) []Record {
 	var rs []Record
-	for _, e := range t.entries {
-		if e.rec.Zone == zone {
-			rs = append(rs, e.rec)
-		}
+	for _, e := range t.byZone[zone] {
+		rs = append(rs, e.rec)
 	}
 	sortRecords(rs)
 	return rs
@@ -187,8 +197,8 @@
 		address string
 	}
 	places := []place{{ringHash(self), self}}
-	for address, e := range t.entries {
-		if e.rec.Zone == zone && e.rec.Alive() && address != self {
+	for address, e := range t.byZone[zone] {
+		if e.rec.Alive() && address != self {
 			places = append(places, place{ringHash(address), address})
 		}
 	}
