Test and measure the transport

Cause: calls must not be lost silently, mixed up or truncated when packets are dropped, late or reordered, when either side breaks off, when strangers or faulty members connect, and when a daemon stops or restarts. Ruled out: expecting the handler to see every truncated call. A reset may overtake the header; the test now waits for the handler before it breaks off.

--- a/internal/standin/certs/certs.go
+++ b/internal/standin/certs/certs.go
@@ -76,7 +76,7 @@
 // Issue generates a key and a certificate for a daemon on the loopback interface and writes them to NAME.pem and
 // NAME-key.pem in the authority's directory.
 func (a *Authority) Issue(name string) (Files, error) {
-	if name == "" || name != filepath.Base(name) {
+	if name == "" || name[0] == '.' || name != filepath.Base(name) {
 		return Files{}, fmt.Errorf("certificate name %q is not a file name", name)
 	}
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
--- /dev/null
+++ b/internal/transport/failure_test.go
@@ -0,0 +1,243 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/wire"
+)
+
+var errBody = errors.New("body failed")
+
+// zeros returns a body of n bytes.
+func zeros(n int) io.Reader { return bytes.NewReader(make([]byte, n)) }
+
+// Guards against a truncated request that a backend server would run as if it were whole.
+func TestTruncatedRequest(t *testing.T) {
+	a := newAuthority(t)
+	arrived, seen := make(chan struct{}), make(chan error, 1)
+	server := a.start("server", handler{call: func(s *CallStream) {
+		arrived <- struct{}{}
+		_, err := io.Copy(io.Discard, s.Body())
+		seen <- err
+		<-s.Context().Done()
+	}}, nil)
+	client := a.start("client", handler{}, nil)
+	for _, size := range []int{0, 10, 100_000} {
+		fail := readerFunc(func([]byte) (int, error) {
+			<-arrived // a reset may overtake the header of the call
+			return 0, errBody
+		})
+		body := io.MultiReader(zeros(size), fail)
+		_, err := client.Call(within(t), server.Address(), header(), body)
+		var lost *LostError
+		var failed *BodyError
+		if !errors.As(err, &lost) || !errors.As(err, &failed) || !errors.Is(err, errBody) {
+			t.Errorf("caller got %v", err)
+		}
+		if err := <-seen; err != io.ErrUnexpectedEOF {
+			t.Errorf("handler got %v after %d bytes", err, size)
+		}
+	}
+}
+
+// Guards against a truncated answer that a caller would take for whole.
+func TestTruncatedAnswer(t *testing.T) {
+	a := newAuthority(t)
+	var server *Transport
+	server = a.start("server", handler{call: func(s *CallStream) {
+		switch s.Header().Service {
+		case "body fails":
+			_ = s.Answer(answered(), io.MultiReader(zeros(100_000), iotest.ErrReader(errBody)), nil)
+		case "connection ends":
+			_ = s.Answer(answered(), io.MultiReader(strings.NewReader("begin"), readerFunc(func([]byte) (int, error) {
+				go closeNow(server)
+				<-s.Context().Done()
+				return 0, errBody
+			})), nil)
+		}
+	}}, nil)
+	client := a.start("client", handler{}, nil)
+	for _, service := range []string{"no answer", "body fails", "connection ends"} {
+		h := header()
+		h.Service = service
+		answer, err := client.Call(within(t), server.Address(), h, nil)
+		if service == "no answer" {
+			var lost *LostError
+			if !errors.As(err, &lost) || lost.Silent {
+				t.Errorf("%s: got %v", service, err)
+			}
+			continue
+		}
+		if err != nil {
+			t.Fatalf("%s: %v", service, err)
+		}
+		if _, err := io.ReadAll(answer.Body); err != io.ErrUnexpectedEOF || answer.Unspent() != 0 {
+			t.Errorf("%s: got %v, %d unspent", service, err, answer.Unspent())
+		}
+	}
+}
+
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// Guards against a request that runs on although its caller has gone, before and after the answer's header.
+func TestCancellationReachesThePeer(t *testing.T) {
+	a := newAuthority(t)
+	h := newHeld()
+	server := a.start("server", h, nil)
+	client := a.start("client", handler{}, nil)
+	ctx, cancel := context.WithCancel(within(t))
+	done := background(ctx, client, server.Address(), nil)
+	s := <-h.arrived
+	cancel()
+	var lost *LostError
+	if r := <-done; !errors.As(r.err, &lost) || !errors.Is(r.err, context.Canceled) {
+		t.Errorf("caller got %v", r.err)
+	}
+	<-s.Context().Done()
+	if _, err := client.Call(ctx, server.Address(), header(), nil); !isNotSent(err) {
+		t.Errorf("call of a canceled context: got %v", err)
+	}
+}
+
+func isNotSent(err error) bool {
+	var notSent *NotSentError
+	return errors.As(err, &notSent)
+}
+
+// Guards against an early refusal that is lost, or that waits for the rest of a large upload.
+func TestAnswerBeforeTheEndOfTheBody(t *testing.T) {
+	a := newAuthority(t)
+	server := a.start("server", handler{call: func(s *CallStream) {
+		_ = s.Answer(wire.AnswerHeader{Outcome: call.OutcomeNotRun, Reason: call.ReasonOverload}, nil, func() int { return 2 })
+	}}, nil)
+	client := a.start("client", handler{}, nil)
+	endless := readerFunc(func(p []byte) (int, error) { return len(p), nil })
+	h := header()
+	h.Timeout = time.Minute // the peer waits as long for the end of the stream
+	answer, err := client.Call(within(t), server.Address(), h, endless)
+	if err != nil || answer.Header.Reason != call.ReasonOverload || answer.Unspent() != 2 {
+		t.Fatalf("got %+v, %v", answer, err)
+	}
+	await(t, "end of the stream", func() bool {
+		server.mu.Lock()
+		defer server.mu.Unlock()
+		return server.incoming == 0
+	})
+}
+
+// Guards against a peer that is accepted without a certificate of the authority, and against callers that can't tell
+// that nothing ran.
+func TestStrangersAreRefused(t *testing.T) {
+	a, other := newAuthority(t), newAuthority(t)
+	seen := newEvents()
+	server := a.start("server", handler{}, func(c *Config) { c.Observer = seen })
+	client := a.start("client", handler{}, nil)
+	mixed := a.tls("mixed") // trusts the server, but has a certificate of the other authority
+	mixed.Certificates = other.tls("mixed").Certificates
+	nameless := a.tls("nameless")
+	nameless.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+		return new(tls.Certificate), nil
+	}
+	for name, config := range map[string]*tls.Config{
+		"distrusts the server": other.tls("stranger"), "other authority": mixed, "no certificate": nameless,
+	} {
+		stranger := a.start(name, handler{}, func(c *Config) { c.TLS = config })
+		if _, err := stranger.Call(within(t), server.Address(), header(), nil); !isNotSent(err) {
+			t.Errorf("%s: got %v, want *NotSentError", name, err)
+		}
+	}
+	await(t, "three failed handshakes", func() bool { return seen.count(EventFailed, true) == 3 })
+	if n := seen.count(EventOpened, true); n != 0 {
+		t.Errorf("%d connections of strangers were accepted", n)
+	}
+	impostor := a.start("impostor", handler{}, func(c *Config) { c.TLS = mixed })
+	if _, err := client.Call(within(t), impostor.Address(), header(), nil); !isNotSent(err) {
+		t.Errorf("call to an impostor: got %v, want *NotSentError", err)
+	}
+	if _, _, err := exchangeBody(within(t), client, server.Address(), nil); err != nil {
+		t.Errorf("call of a member: %v", err)
+	}
+}
+
+// Guards against input of a faulty member, or of nobody, that stops the calls of others.
+func TestMalformedInputIsIgnored(t *testing.T) {
+	a := newAuthority(t)
+	seen := newEvents()
+	server := a.start("server", handler{}, func(c *Config) {
+		c.Observer = seen
+		c.MessageTimeout = 100 * time.Millisecond
+	})
+	client := a.start("client", handler{}, nil)
+	garbage, err := net.Dial("udp", server.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = garbage.Close() }()
+	for n := range 1200 {
+		_, _ = garbage.Write(bytes.Repeat([]byte{byte(n), 0xc3}, n))
+	}
+	c, err := client.dial(within(t), server.Address(), false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	oversized := binary.BigEndian.AppendUint32([]byte{byte(wire.KindCallHeader)}, wire.MaxHeader+1)
+	for name, input := range map[string][]byte{
+		"oversized": oversized, "half a message": {byte(wire.KindRequest), 0, 0, 0, 9, 1}, "no message": nil,
+		"unknown": {77, 0, 0, 0, 0}, "body first": {byte(wire.KindBody), 0, 0, 0, 1, 1},
+	} {
+		s, err := c.quic.OpenStreamSync(within(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = s.Write(input)
+		if name == "no message" {
+			_ = s.Close()
+		}
+		_, err = s.Read(make([]byte, 1))
+		var refused *quic.StreamError
+		if !errors.As(err, &refused) || refused.ErrorCode != codeRefused {
+			t.Errorf("%s: got %v, want a refused stream", name, err)
+		}
+		if _, _, err := exchangeBody(within(t), client, server.Address(), nil); err != nil {
+			t.Errorf("call after %s: %v", name, err)
+		}
+	}
+	await(t, "five rejected streams", func() bool { return seen.count(EventRejected, true) == 5 })
+}
+
+// Guards against a header that can't be encoded, or a peer that doesn't exist, and is reported as possibly sent.
+func TestNotSent(t *testing.T) {
+	a := newAuthority(t)
+	client := a.start("client", handler{}, func(c *Config) { c.DialTimeout = 100 * time.Millisecond })
+	unused, err := net.ListenPacket("udp", "127.0.0.1:0") // receives and never answers
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = unused.Close() }()
+	for name, address := range map[string]string{"host name": "localhost:1", "no peer": unused.LocalAddr().String()} {
+		if _, err := client.Call(within(t), address, header(), nil); !isNotSent(err) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+	if err := client.Send(within(t), client.Address(), &wire.Control{}); !isNotSent(err) {
+		t.Errorf("empty message: got %v", err)
+	}
+	if _, err := client.Request(within(t), client.Address(), &wire.Control{}); !isNotSent(err) {
+		t.Errorf("empty request: got %v", err)
+	}
+}
--- a/internal/transport/setup_test.go
+++ b/internal/transport/setup_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -112,3 +113,108 @@
 	got, err := io.ReadAll(a.Body)
 	return got, a, err
 }
+
+// events collects what an observer is told.
+type events struct {
+	mu   sync.Mutex
+	all  []Event
+	news chan struct{}
+}
+
+func newEvents() *events { return &events{news: make(chan struct{}, 1)} }
+
+func (e *events) Observe(event Event) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.all = append(e.all, event)
+	select {
+	case e.news <- struct{}{}:
+	default:
+	}
+}
+
+// await returns the first event of the kind and direction.
+func (e *events) await(t *testing.T, kind EventKind, incoming bool) Event {
+	t.Helper()
+	deadline := time.After(eventually)
+	for {
+		e.mu.Lock()
+		for _, event := range e.all {
+			if event.Kind == kind && event.Incoming == incoming {
+				e.mu.Unlock()
+				return event
+			}
+		}
+		e.mu.Unlock()
+		select {
+		case <-e.news:
+		case <-deadline:
+			t.Fatalf("no event of kind %v", kind)
+		}
+	}
+}
+
+// count returns the number of events of the kind and direction so far.
+func (e *events) count(kind EventKind, incoming bool) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, event := range e.all {
+		if event.Kind == kind && event.Incoming == incoming {
+			n++
+		}
+	}
+	return n
+}
+
+// await polls until the condition holds.
+func await(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(eventually); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("never happened: %s", what)
+		}
+	}
+}
+
+// held is a handler that keeps calls until they are released, and then echoes their bodies.
+type held struct {
+	handler
+	arrived chan *CallStream
+	release chan struct{}
+}
+
+func newHeld() *held {
+	h := &held{arrived: make(chan *CallStream, 1000), release: make(chan struct{})}
+	h.call = func(s *CallStream) {
+		h.arrived <- s
+		select {
+		case <-h.release:
+			_ = s.Answer(answered(), s.Body(), nil)
+		case <-s.Context().Done():
+		}
+	}
+	return h
+}
+
+// result is the end of a call that runs in the background.
+type result struct {
+	body []byte
+	err  error
+}
+
+func background(ctx context.Context, from *Transport, to string, body io.Reader) <-chan result {
+	done := make(chan result, 1)
+	go func() {
+		got, _, err := exchangeBody(ctx, from, to, body)
+		done <- result{got, err}
+	}()
+	return done
+}
+
+// onlyConn returns the connection to the address.
+func (t *Transport) onlyConn(address string) *conn {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	return t.pool.peers[address].conns[0]
+}
--- a/internal/transport/silence.go
+++ b/internal/transport/silence.go
@@ -42,7 +42,7 @@
 	case s.pinged.IsZero() && now.Sub(s.since) >= s.pingAfter:
 		s.pinged = now
 		return actionPing
-	case !s.pinged.IsZero() && now.Sub(s.since) >= s.silentAfter && now.Sub(s.pinged) >= s.silentAfter-s.pingAfter:
+	case now.Sub(s.since) >= s.silentAfter && now.Sub(s.pinged) >= s.silentAfter-s.pingAfter:
 		return actionGiveUp
 	default:
 		return actionNone
