Never deny a resend at the entry, and leave out unreachable upstreams

Cause: (1) An entry that refused a request with a token by itself (draining, malformed header, parent gone, body broken off) said "not run", although the request may have run through another entry. (2) A killed daemon stays listed for up to 8 s; each call to it waited for the dial timeout of 1 s until five had failed. (3) A service name with percent escapes made the entry slice its path out of bounds and panic. Ruled out for (2): a shorter dial timeout, which would fail connections between regions on two lost packets. Change: local refusals of requests with a token are "unknown"; the reason "unreachable" ejects an upstream after one failure; the path is cut from its escaped form.

--- a/internal/core/call/outcome.go
+++ b/internal/core/call/outcome.go
@@ -38,6 +38,7 @@
 	ReasonLeaving        Reason = "leaving"          // the upstream is draining
 	ReasonDeadline       Reason = "deadline"         // too little time left to start, or the deadline passed
 	ReasonNoUpstream     Reason = "no-upstream"      // no upstream of the service is known or reachable
+	ReasonUnreachable    Reason = "unreachable"      // no connection to the upstream could be opened
 	ReasonWrongUpstream  Reason = "wrong-upstream"   // the call was meant for another service or incarnation
 	ReasonTokenRequired  Reason = "token-required"   // a non-idempotent request came without a token
 	ReasonTokenExpired   Reason = "token-expired"    // the token expired before it was spent
--- a/internal/core/routing/health.go
+++ b/internal/core/routing/health.go
@@ -43,6 +43,10 @@
 		h.failures++
 		h.inRow++
 	}
+	// Each call to an upstream that can't be reached waits for the dial timeout, so one failure is enough.
+	if r.Reason == call.ReasonUnreachable {
+		h.inRow = failuresInRow
+	}
 }
 
 // isFailure reports whether the result shows a fault of this upstream. A timeout doesn't: a slow deeper service causes
@@ -50,7 +54,7 @@
 func isFailure(r Result) bool {
 	switch r.Reason {
 	case call.ReasonConnectionLost, call.ReasonBackendCrashed, call.ReasonBackendRefused, call.ReasonTruncated,
-		call.ReasonIncarnationGone, call.ReasonWrongUpstream:
+		call.ReasonIncarnationGone, call.ReasonWrongUpstream, call.ReasonUnreachable:
 		return true
 	default:
 		return false
--- a/internal/daemon/bound.go
+++ b/internal/daemon/bound.go
@@ -40,7 +40,7 @@
 // askToken asks one upstream's daemon. A grant without a token carries the reason.
 func (d *dispatcher) askToken(ctx context.Context, req *request, s *service, target routing.Candidate) *wire.TokenGrant {
 	started := d.now()
-	grant := &wire.TokenGrant{Reason: call.ReasonNoUpstream}
+	grant := &wire.TokenGrant{Reason: call.ReasonUnreachable}
 	reply, err := d.peers.Request(ctx, target.Address, &wire.Control{
 		From:         d.self,
 		TokenRequest: &wire.TokenRequest{Service: req.service, Rank: req.rank},
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -9,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"guavapoint.example/guavapoint/internal/core/membership"
 )
@@ -94,7 +96,9 @@
 		if strings.HasPrefix(r.URL.Path, "/long") {
 			size = 4 * readAhead
 		}
-		w.Header().Set("Content-Length", fmt.Sprint(2*size))
+		if r.URL.Path != "/long/chunked" {
+			w.Header().Set("Content-Length", fmt.Sprint(2*size))
+		}
 		_, _ = w.Write(make([]byte, size))
 		panic(http.ErrAbortHandler)
 	}))
@@ -103,9 +107,10 @@
 	if short.outcome() != "unknown" || short.status != http.StatusGatewayTimeout {
 		t.Errorf("short answer: %d %v", short.status, short.header)
 	}
-	long := s.nodes[0].send(t, "GET", "lookup/long", "")
-	if long.bodyErr == nil {
-		t.Errorf("a truncated answer of %d bytes looks whole", len(long.body))
+	for _, path := range []string{"lookup/long", "lookup/long/chunked"} {
+		if long := s.nodes[0].send(t, "GET", path, ""); long.bodyErr == nil {
+			t.Errorf("%s: a truncated answer of %d bytes looks whole", path, len(long.body))
+		}
 	}
 }
 
@@ -257,12 +262,14 @@
 	for _, failures := range []int64{2, 100} {
 		s := newSite(t)
 		var attempts atomic.Int64
-		s.add("lookup", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-			if attempts.Add(1) <= failures {
+		s.add("lookup", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/x" && attempts.Add(1) <= failures {
 				panic(http.ErrAbortHandler)
 			}
 		}))
 		s.ready()
+		// net/http repeats a request by itself only on a connection that was used before.
+		s.nodes[0].send(t, "GET", "lookup/warm-up", "")
 		got := s.nodes[0].send(t, "GET", "lookup/x", "")
 		switch {
 		case failures == 2 && (got.outcome() != "answered" || attempts.Load() != 3):
@@ -296,3 +303,79 @@
 		}
 	}
 }
+
+// Guards against an entry that refuses a resend by itself and says "not run", although the request ran through another
+// entry.
+func TestEntryNeverDeniesAResend(t *testing.T) {
+	s := newSite(t)
+	s.add("transfer", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	a := s.add("lookup", http.NotFoundHandler())
+	b := s.add("lookup", http.NotFoundHandler())
+	s.ready()
+	token := a.send(t, "POST", "transfer/x", "x").header.Get(headerToken)
+	if got := a.send(t, "POST", "transfer/x", "x", headerToken, token); got.outcome() != "answered" {
+		t.Fatalf("first: %+v", got)
+	}
+	refusals := [][]string{
+		{"POST", "transfer/x", headerTimeout, "1h"},
+		{"POST", "nothing/x", headerTimeout, "1s"},
+		{"POST", "transfer/x", headerContext, "AAAAAAAAAAEAAAAAAAAAAQ"},
+	}
+	for _, r := range refusals {
+		if got := b.send(t, r[0], r[1], "x", headerToken, token, r[2], r[3]); got.outcome() != "unknown" {
+			t.Errorf("%v: %+v", r, got)
+		}
+	}
+	b.drain.begin(b.now())
+	if got := b.send(t, "POST", "transfer/x", "x", headerToken, token); got.outcome() != "unknown" {
+		t.Errorf("draining entry: %+v", got)
+	}
+}
+
+// Guards against a crash of the entry by a path whose escapes change its length.
+func TestEscapedServiceNameIsRefused(t *testing.T) {
+	s := newSite(t)
+	n := s.add("lookup", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.ready()
+	for _, path := range []string{"%6cookup/a", "a%2Fb", "%41", "lookup//a/../b"} {
+		if got := n.send(t, "GET", path, ""); got.status != http.StatusNotFound {
+			t.Errorf("%s: %+v", path, got)
+		}
+	}
+}
+
+// Guards against a non-idempotent request that is cancelled after its dispatch because its caller went away.
+func TestDispatchedTransferOutlivesItsCaller(t *testing.T) {
+	s := newSite(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	var canceled atomic.Bool
+	s.add("transfer", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-release
+		canceled.Store(r.Context().Err() != nil)
+		fmt.Fprint(w, "done")
+	}))
+	entry := s.add("lookup", http.NotFoundHandler())
+	s.ready()
+	token := entry.send(t, "POST", "transfer/x", "x").header.Get(headerToken)
+	ctx, hangUp := context.WithCancel(t.Context())
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		req, _ := http.NewRequestWithContext(ctx, "POST", "http://"+entry.settings.CallAddress+"/call/transfer/x", strings.NewReader("x"))
+		req.Header.Set(headerToken, token)
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			resp.Body.Close()
+		}
+	}()
+	<-started
+	hangUp()
+	<-gone
+	resend := make(chan reply)
+	go func() { resend <- entry.send(t, "POST", "transfer/x", "x", headerToken, token) }()
+	time.Sleep(50 * time.Millisecond) // lets a cancellation reach the backend server
+	close(release)
+	if got := <-resend; got.outcome() != "answered" || got.body != "done" || canceled.Load() {
+		t.Errorf("canceled %v, resend %+v", canceled.Load(), got)
+	}
+}
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -186,7 +186,7 @@
 		if ctx.Err() != nil {
 			return attempt{result: notRun(endReason(ctx))}
 		}
-		return attempt{result: notRun(call.ReasonNoUpstream), retry: true}
+		return attempt{result: notRun(call.ReasonUnreachable), retry: true}
 	}
 	if ctx.Err() != nil {
 		return attempt{result: unknown(call.ReasonTimeout), sent: true}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -28,8 +28,9 @@
 
 // router returns the handler of the call listener.
 func (e *entry) router() http.Handler {
-	r := mux.NewRouter().UseEncodedPath()
-	r.PathPrefix("/call/{service}").Handler(e)
+	// Paths are passed on as they came: the backend server may tell "//" from "/".
+	r := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	r.PathPrefix(callPrefix).Handler(e)
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		writeError(w, &requestError{http.StatusNotFound, "unknown-path", "calls go to /call/{service}/{path}"})
 	})
@@ -42,14 +43,14 @@
 	w.Header().Set(headerVersion, e.versionText())
 	req, err := e.parseRequest(started, r)
 	if err != nil {
-		e.reject(w, err)
+		e.reject(w, r, err)
 		return
 	}
 	// A draining daemon takes no new root requests. Child calls go on, since the requests that they belong to could not
 	// finish otherwise; these requests already hold the drain.
 	if req.parent == nil {
 		if !e.drain.enter() {
-			e.writeResult(w, notRun(call.ReasonLeaving))
+			e.writeResult(w, e.refuseLocally(r, call.ReasonLeaving))
 			return
 		}
 		defer e.drain.leave()
@@ -82,7 +83,7 @@
 	}
 	body, err := newRequestBody(r.Body, r.ContentLength)
 	if err != nil {
-		return notRun(call.ReasonCanceled)
+		return e.refuseLocally(r, call.ReasonCanceled)
 	}
 	fields := forwardedHeaders(r.Header)
 	if req.bound() {
@@ -96,12 +97,26 @@
 	return strconv.FormatUint(v.Epoch, 10) + "." + strconv.FormatUint(v.Revision, 10)
 }
 
+// refuseLocally returns the result of a call that this entry doesn't send. With a token the outcome is unknown: the
+// caller may have sent the request earlier, through this entry or another one, and only the token's upstream can
+// prove that it did not run.
+func (e *entry) refuseLocally(r *http.Request, reason call.Reason) *result {
+	return &result{outcome: localOutcome(r), reason: reason}
+}
+
+func localOutcome(r *http.Request) call.Outcome {
+	if r.Header.Get(headerToken) != "" {
+		return call.OutcomeUnknown
+	}
+	return call.OutcomeNotRun
+}
+
 // reject answers a request that was not accepted.
-func (e *entry) reject(w http.ResponseWriter, err error) {
+func (e *entry) reject(w http.ResponseWriter, r *http.Request, err error) {
 	var refused *notRunError
 	if errors.As(err, &refused) {
 		e.report.refused(refused.reason)
-		setOutcome(w, call.OutcomeNotRun, refused.reason)
+		setOutcome(w, localOutcome(r), refused.reason)
 		writeProblem(w, http.StatusServiceUnavailable, string(refused.reason), refused.message)
 		return
 	}
@@ -109,7 +124,7 @@
 	if !errors.As(err, &bad) {
 		bad = &requestError{http.StatusInternalServerError, "internal", err.Error()}
 	}
-	setOutcome(w, call.OutcomeNotRun, call.Reason(bad.code))
+	setOutcome(w, localOutcome(r), call.Reason(bad.code))
 	writeError(w, bad)
 }
 
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -6,10 +6,9 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
-	"github.com/gorilla/mux"
-
 	"guavapoint.example/guavapoint/internal/core/call"
 	"guavapoint.example/guavapoint/internal/core/config"
 	"guavapoint.example/guavapoint/internal/core/retry"
@@ -62,12 +61,13 @@
 
 // parseRequest checks a call's headers against the configuration. The error is a *requestError or a *notRunError.
 func (e *entry) parseRequest(now time.Time, r *http.Request) (*request, error) {
-	req := &request{service: mux.Vars(r)["service"], path: backendPath(r)}
+	service, path := splitCallPath(r)
+	req := &request{service: service, path: path}
 	_, doc := e.config.Current()
 	if doc == nil {
 		return nil, &notRunError{reason: call.ReasonNoUpstream, message: "no configuration has arrived yet"}
 	}
-	op, err := doc.Operation(req.service, r.Method, r.URL.Path[len("/call/")+len(req.service):])
+	op, err := doc.Operation(req.service, r.Method, req.path)
 	if err != nil {
 		return nil, &requestError{http.StatusNotFound, "unknown-operation", err.Error()}
 	}
@@ -86,16 +86,17 @@
 	return req, startRoot(req, now, doc, r.Header)
 }
 
-// backendPath returns the path and query below /call/{service}.
-func backendPath(r *http.Request) string {
-	path := r.URL.EscapedPath()[len("/call/")+len(mux.Vars(r)["service"]):]
-	if path == "" {
-		path = "/"
-	}
+// callPrefix begins the path of every call; the service's name follows.
+const callPrefix = "/call/"
+
+// splitCallPath returns the service, and the path and query for its backend server, with the escapes as they came.
+func splitCallPath(r *http.Request) (service, path string) {
+	service, path, _ = strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), callPrefix), "/")
+	path = "/" + path
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
-	return path
+	return service, path
 }
 
 func parseToken(req *request, raw string) error {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -66,7 +66,7 @@
 	}
 	var err error
 	if v.body, err = newRequestBody(body, v.header.BodyLength); err != nil {
-		return notRun(call.ReasonCanceled)
+		return bodyLost(v.header)
 	}
 	v.print = quarantine.NewFingerprint(v.header.Service, v.header.Method, v.header.Path, v.body.prefix)
 	if v.header.Token != "" {
@@ -80,6 +80,14 @@
 	return withFinish(res, u.drain.leave)
 }
 
+// bodyLost is the result of a call whose body broke off. It did not run, but an earlier one with the same token may have.
+func bodyLost(h *wire.CallHeader) *result {
+	if h.Token != "" {
+		return unknown(call.ReasonCanceled)
+	}
+	return notRun(call.ReasonCanceled)
+}
+
 // withFinish calls f when the result has been passed on.
 func withFinish(res *result, f func()) *result {
 	earlier := res.finished
