Repeat quarantine records, and test configuration under platform outage

Cause: quarantine records were sent once; a lost message, or a daemon that started later, left a daemon without the suspicion, which costs one more backend server. Configuration and membership had no test on real daemons with the platform down.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -106,14 +108,39 @@
 
 // spreadQuarantine sends records to the other daemons of the service.
 func (d *Daemon) spreadQuarantine(records []quarantine.Record) {
-	for start := 0; start < len(records); start += maxQuarantineRecords {
-		part := records[start:min(start+maxQuarantineRecords, len(records))]
+	for _, address := range d.members.ofService(d.settings.Service, d.settings.PeerAddress) {
+		d.sendQuarantine(records, address)
+	}
+}
+
+// sendQuarantine sends records to one daemon without waiting for it.
+func (d *Daemon) sendQuarantine(records []quarantine.Record, address string) {
+	for part := range slices.Chunk(records, maxQuarantineRecords) {
 		payload, err := cbor.Marshal(quarantineRecords{part})
 		if err != nil {
 			return // the records hold no types that can't be encoded
 		}
-		for _, address := range d.members.ofService(d.settings.Service, d.settings.PeerAddress) {
-			go d.sendControl(address, &wire.Control{Quarantine: &wire.Quarantine{Payload: payload}})
+		go d.sendControl(address, &wire.Control{Quarantine: &wire.Quarantine{Payload: payload}})
+	}
+}
+
+// quarantineInterval is the interval at which a daemon sends its records to one random daemon of its service. It repeats
+// what a lost message didn't bring, and tells a daemon that has just started.
+const quarantineInterval = 5 * time.Second
+
+// runQuarantine repeats the records until the context ends.
+func (d *Daemon) runQuarantine(ctx context.Context, rng *rand.Rand) {
+	ticker := time.NewTicker(quarantineInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			peers := d.members.ofService(d.settings.Service, d.settings.PeerAddress)
+			if len(peers) > 0 {
+				d.sendQuarantine(d.suspects.records(), peers[rng.IntN(len(peers))])
+			}
+		case <-ctx.Done():
+			return
 		}
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -269,6 +269,7 @@
 	d.tasks.Go(func() { d.tick(ctx) })
 	d.tasks.Go(func() { d.runSync(ctx) })
 	d.tasks.Go(func() { d.runContracts(ctx) })
+	d.tasks.Go(func() { d.runQuarantine(ctx, newRand()) })
 	if d.relay != nil {
 		d.tasks.Go(func() { d.relay.Run(ctx, relayInterval) })
 	}
--- a/internal/daemon/setup_test.go
+++ b/internal/daemon/setup_test.go
@@ -29,6 +29,7 @@
 	authority *certs.Authority
 	document  *config.Document
 	nodes     []*node
+	platform  string // URL of the stand-in key-value service; without one the daemons start with the document
 }
 
 // node is one daemon with its backend server.
@@ -92,6 +93,9 @@
 		TLS:          settings.TLS{Certificate: files.Certificate, Key: files.Key, Authority: files.Authority},
 		DrainLimit:   eventually,
 	}
+	if s.platform != "" {
+		cfg.Platform.URLs = []string{s.platform}
+	}
 	for _, n := range s.nodes {
 		cfg.Peers = append(cfg.Peers, n.settings.PeerAddress)
 	}
@@ -105,7 +109,7 @@
 	if err := <-n.stopped; err != nil {
 		s.t.Fatal(err)
 	}
-	n.Daemon = s.run(n.settings, n.backend).Daemon
+	*n = *s.run(n.settings, n.backend)
 	s.nodes = s.nodes[:len(s.nodes)-1]
 }
 
@@ -119,9 +123,16 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	if s.platform != "" {
+		return s.start(d, backend)
+	}
 	if _, err := d.config.Offer(config.Version{Epoch: 1, Revision: 1}, s.document); err != nil {
 		s.t.Fatal(err)
 	}
+	return s.start(d, backend)
+}
+
+func (s *site) start(d *Daemon, backend *httptest.Server) *node {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{Daemon: d, backend: backend, stop: cancel, stopped: make(chan error, 1)}
 	go func() { n.stopped <- d.Run(ctx) }()
