Keep full connections from counting as silent

Cause: a ping needs a stream and room in the connection's flow control window. With 1000 outstanding calls, or with unread bodies that fill the window, the ping was held back, nothing arrived, and all calls of a live connection were reported as lost after 500 ms. Change: at most 900 own streams on a connection, then ErrTooManyStreams as a *NotSentError; the stream of a ping is reset halfway to the deadline, since a reset is not subject to flow control and is acknowledged; the connection's window has room for 64 calls with unread bodies (was 16). The credit of ended streams is returned in batches of 8. Conclusion: silence is reported only when the peer acknowledges nothing.

--- a/internal/transport/bench_test.go
+++ b/internal/transport/bench_test.go
@@ -104,6 +104,7 @@
 // with an outstanding call, which is pinged, and of single control messages of the size of a heartbeat.
 func BenchmarkWireBytes(b *testing.B) {
 	const seconds, messages, payload = 5, 100, 100
+	const ackDelay = 50 * time.Millisecond // above the longest delay of an acknowledgement, 25 ms
 	a := newAuthority(b)
 	h := newHeld()
 	server, client := a.start("server", h, nil), a.start("client", handler{}, nil)
@@ -114,8 +115,10 @@
 			b.Fatal(err)
 		}
 	}
-	send()
-	time.Sleep(time.Second) // the end of the handshake and the search for the path's MTU
+	for range messages { // the search for the path's MTU goes on with the traffic
+		send()
+		time.Sleep(ackDelay)
+	}
 	measure := func(b *testing.B, per float64, f func()) {
 		for b.Loop() {
 			sent, packets := proxy.sent.Load(), proxy.packets.Load()
@@ -131,7 +134,7 @@
 		measure(b, messages, func() {
 			for range messages {
 				send()
-				time.Sleep(50 * time.Millisecond) // above the delay of acknowledgements, 25 ms
+				time.Sleep(ackDelay)
 			}
 		})
 	})
--- a/internal/transport/config.go
+++ b/internal/transport/config.go
@@ -56,12 +56,17 @@
 // (100) with its queue, so that calls wait in the upstream's queue, by rank, and not in the transport.
 const maxIncomingStreams = 1000
 
-// Windows of QUIC flow control, in bytes. A stream's window covers 30 Mbit/s at 60 ms (225 KB). Calls that wait for
-// admission hold their unread bodies in the connection's window, so that it covers many of them.
+// maxOutstanding is the number of own streams on one connection above which no call is sent on it. Without a reserve
+// below the peer's maxIncomingStreams, a ping finds no stream, and a busy connection would count as silent.
+const maxOutstanding = maxIncomingStreams - 100
+
+// Windows of QUIC flow control, in bytes. The largest window of a stream covers 30 Mbit/s at 60 ms (225 KB). A call that
+// waits for admission holds its unread body, up to the initial window of its stream, in the connection's window; that
+// one has room for 64 of them before calls block each other.
 const (
-	initialStreamWindow     = 256 << 10
-	maxStreamWindow         = 1 << 20
-	initialConnectionWindow = 4 << 20
+	initialStreamWindow     = 128 << 10
+	maxStreamWindow         = 512 << 10
+	initialConnectionWindow = 8 << 20
 	maxConnectionWindow     = 16 << 20
 )
 
@@ -104,6 +109,7 @@
 		MaxConnectionReceiveWindow:     maxConnectionWindow,
 		MaxIncomingStreams:             maxIncomingStreams,
 		MaxIncomingUniStreams:          -1,
+		RequireStreamCreditRelease:     true, // see credits
 	}
 }
 
--- a/internal/transport/errors.go
+++ b/internal/transport/errors.go
@@ -14,6 +14,9 @@
 // ErrTooManyConnections reports that Config.MaxConnections are open and all of them are in use.
 var ErrTooManyConnections = errors.New("too many connections in use")
 
+// ErrTooManyStreams reports that all connections to the peer carry as many streams as they may.
+var ErrTooManyStreams = errors.New("too many outstanding streams")
+
 // ErrRefused reports a stream that the peer's transport refused before its handler saw it.
 var ErrRefused = errors.New("peer refused the stream")
 
--- a/internal/transport/failure_test.go
+++ b/internal/transport/failure_test.go
@@ -56,6 +56,7 @@
 // Guards against a truncated answer that a caller would take for whole.
 func TestTruncatedAnswer(t *testing.T) {
 	a := newAuthority(t)
+	received := make(chan struct{}) // the header of the last answer
 	var server *Transport
 	server = a.start("server", handler{call: func(s *CallStream) {
 		switch s.Header().Service {
@@ -63,6 +64,7 @@
 			_ = s.Answer(answered(), io.MultiReader(zeros(100_000), iotest.ErrReader(errBody)), nil)
 		case "connection ends":
 			_ = s.Answer(answered(), io.MultiReader(strings.NewReader("begin"), readerFunc(func([]byte) (int, error) {
+				<-received
 				go closeNow(server)
 				<-s.Context().Done()
 				return 0, errBody
@@ -84,6 +86,9 @@
 		if err != nil {
 			t.Fatalf("%s: %v", service, err)
 		}
+		if service == "connection ends" {
+			close(received)
+		}
 		if _, err := io.ReadAll(answer.Body); err != io.ErrUnexpectedEOF || answer.Unspent() != 0 {
 			t.Errorf("%s: got %v, %d unspent", service, err, answer.Unspent())
 		}
--- a/internal/transport/pool.go
+++ b/internal/transport/pool.go
@@ -69,13 +69,16 @@
 	}
 	at := p.peer(address)
 	best := at.least()
-	if best != nil {
+	if best != nil && best.outstanding < maxOutstanding {
 		best.outstanding++
 		if best.outstanding > p.t.cfg.StreamsPerConnection && len(at.conns) < p.t.cfg.ConnectionsPerPeer {
 			_ = p.startDial(at) // the connection at hand serves meanwhile
 		}
 		return best, nil, nil
 	}
+	if best != nil && len(at.conns) >= p.t.cfg.ConnectionsPerPeer {
+		return nil, nil, ErrTooManyStreams
+	}
 	if err := p.startDial(at); err != nil {
 		p.dropEmpty(at)
 		return nil, nil, err
@@ -240,8 +243,11 @@
 	}
 }
 
+// ping sends a ping. Flow control may hold it back, while unread bodies fill the connection's window, so its stream is
+// reset halfway to the time when the connection counts as silent: a reset is not subject to flow control, and its
+// acknowledgement is a sign of life.
 func (p *pool) ping(c *conn) {
-	c.ping(p.t.ctx, p.t.Address(), p.t.cfg.SilentAfter)
+	c.ping(p.t.ctx, p.t.Address(), (p.t.cfg.SilentAfter-p.t.cfg.PingAfter)/2)
 	p.release(c, true)
 }
 
--- a/internal/transport/pool_test.go
+++ b/internal/transport/pool_test.go
@@ -75,6 +75,51 @@
 	}
 }
 
+// Guards against a connection that takes no more streams once a peer has opened as many as are allowed at one time.
+func TestCreditOfEndedStreamsIsReturned(t *testing.T) {
+	a := newAuthority(t)
+	server := a.start("server", handler{}, nil)
+	client := a.start("client", handler{}, func(c *Config) { c.SilentAfter = time.Hour })
+	m := &wire.Control{Ping: &wire.Ping{}}
+	for n := range maxIncomingStreams + 2*creditBatch {
+		if err := client.Send(within(t), server.Address(), m); err != nil {
+			t.Fatalf("message %d: %v", n, err)
+		}
+	}
+}
+
+// Guards against a connection that counts as silent because its calls leave no stream for a ping.
+func TestFullConnectionIsNotSilent(t *testing.T) {
+	a := newAuthority(t)
+	h := newHeld()
+	server := a.start("server", h, nil)
+	client := a.start("client", handler{}, func(c *Config) {
+		c.ConnectionsPerPeer = 1
+		c.PingAfter = 50 * time.Millisecond
+	})
+	var all []<-chan result
+	for range maxIncomingStreams + 50 {
+		all = append(all, background(within(t), client, server.Address(), nil))
+	}
+	for range maxOutstanding {
+		<-h.arrived
+	}
+	c := client.onlyConn(server.Address())
+	await(t, "20 pings", func() bool { return c.pings.Load() >= 20 })
+	close(h.release)
+	refused := 0
+	for _, done := range all {
+		if r := <-done; errors.Is(r.err, ErrTooManyStreams) {
+			refused++
+		} else if r.err != nil {
+			t.Error(r.err)
+		}
+	}
+	if want := maxIncomingStreams + 50 - maxOutstanding; refused != want {
+		t.Errorf("%d calls were refused, want %d", refused, want)
+	}
+}
+
 // Guards against connections beyond the limit, and against a limit that idle connections use up.
 func TestConnectionLimit(t *testing.T) {
 	a := newAuthority(t)
--- a/internal/transport/serve.go
+++ b/internal/transport/serve.go
@@ -74,12 +74,16 @@
 func (t *Transport) serveConn(c *quic.Conn) {
 	address := c.RemoteAddr().String()
 	t.observe(Event{Kind: EventOpened, Address: address, Incoming: true})
+	ended := new(credits)
 	for {
 		s, err := c.AcceptStream(t.ctx)
 		if err != nil {
 			break
 		}
-		go t.serveStream(c, s)
+		go func() {
+			defer ended.add(s)
+			t.serveStream(c, s)
+		}()
 	}
 	<-c.Context().Done()
 	t.mu.Lock()
--- a/internal/transport/silent_test.go
+++ b/internal/transport/silent_test.go
@@ -88,6 +88,34 @@
 	}
 }
 
+// Guards against a connection that counts as silent because unread bodies fill its window and leave no room for a ping.
+func TestStalledBodiesAreNotSilent(t *testing.T) {
+	t.Parallel()
+	a := newAuthority(t)
+	h := newHeld()
+	server := a.start("server", h, nil)
+	client := a.start("client", handler{}, func(c *Config) {
+		c.ConnectionsPerPeer = 1
+		c.PingAfter = 50 * time.Millisecond
+	})
+	const stalled = initialConnectionWindow / initialStreamWindow
+	var all []<-chan result
+	for range stalled {
+		all = append(all, background(within(t), client, server.Address(), zeros(2*initialStreamWindow)))
+	}
+	for range stalled {
+		<-h.arrived
+	}
+	c := client.onlyConn(server.Address())
+	await(t, "5 pings", func() bool { return c.pings.Load() >= 5 })
+	close(h.release)
+	for _, done := range all {
+		if r := <-done; r.err != nil || len(r.body) != 2*initialStreamWindow {
+			t.Errorf("got %d bytes, %v", len(r.body), r.err)
+		}
+	}
+}
+
 // Guards against answers that get mixed up or cut when packets arrive late and out of order and the calls end in
 // another order than they began.
 func TestLateAndReorderedAnswers(t *testing.T) {
