Hold retries below critical to their share in each second

Cause: single critical requests were still refused in the slow cases. The trace showed refusals by one upstream with units left and no retry allowed: at the start of the slowdown low, normal and high retries spent at once what 10 s of earlier first attempts allow; then first attempts became fewer. Change: classes below critical are held to their part also in the newest bucket. Seen to fail first: without the rule "no critical retry in second 7 of the overload".

--- a/internal/core/retry/ratio.go
+++ b/internal/core/retry/ratio.go
@@ -67,11 +67,17 @@
 	return r.AllowClass(now, call.ClassCritical)
 }
 
-// AllowClass is Allow for a request of the given class. Less important classes are stopped before the share is used up.
+// AllowClass is Allow for a request of the given class. Classes below critical are stopped before the share is used up,
+// and are also held to their part of it in the newest tenth of the window.
 func (r *Ratio) AllowClass(now time.Time, c call.Class) bool {
 	b := r.advance(now)
 	share := r.cfg.Ratio * classShare[min(c, call.ClassCritical)]
-	if float64(r.total.retries+1) >= share*float64(r.total.first) {
+	if !r.total.below(share) {
+		return false
+	}
+	// Otherwise the retries that the whole window allows are spent at once when an overload begins. As first attempts
+	// then become fewer, none would be left for critical requests until those have left the window.
+	if c < call.ClassCritical && !b.below(share) {
 		return false
 	}
 	b.retries++
@@ -79,6 +85,11 @@
 	return true
 }
 
+// below reports whether one more retry stays below the share.
+func (a attempts) below(share float64) bool {
+	return float64(a.retries+1) < share*float64(a.first)
+}
+
 // SetRatio changes the share and keeps the recorded attempts.
 func (r *Ratio) SetRatio(ratio float64) {
 	r.cfg.Ratio = ratio
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -159,6 +159,32 @@
 	})
 }
 
+// Guards against a burst of less important retries that uses up the whole window, so that critical ones find none when
+// first attempts become fewer.
+func TestRatioLeavesCriticalRetriesAfterBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := NewRatio(RatioConfig{Ratio: DefaultRatio})
+		now := time.Unix(1000, 0)
+		class := call.Class(rapid.IntRange(0, call.NumClasses-2).Draw(t, "class"))
+		fewer := rapid.IntRange(2, 5).Draw(t, "fewer")
+		for second := range 30 {
+			overload := second >= 10
+			for i := range 1000 {
+				now = now.Add(time.Millisecond)
+				if overload && i%fewer != 0 {
+					continue
+				}
+				r.First(now)
+				for overload && r.AllowClass(now, class) {
+				}
+			}
+			if overload && !r.AllowClass(now, call.ClassCritical) {
+				t.Fatalf("no critical retry in second %d of the overload", second-10)
+			}
+		}
+	})
+}
+
 func since(times []time.Time, from time.Time) int {
 	n := 0
 	for _, t := range times {
