Break silent connections to the platform by TCP keepalive

Cause: a watch whose connection a middlebox has forgotten waits for ever, and the relay would miss every later configuration change. Ruled out: listing again every few seconds (333 KB for 670 services, above the 6 KB/s of a daemon), and progress notifications, which the JSON gateway can't be asked for. Change: connections of the platform client probe after 1 s and break after two lost probes; the relay then lists and watches again.

--- a/internal/daemon/configsync.go
+++ b/internal/daemon/configsync.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -36,7 +35,7 @@
 	if len(d.settings.Platform.URLs) == 0 {
 		return nil
 	}
-	store, err := platform.NewClient(d.settings.Platform.URLs, &http.Client{}, 0)
+	store, err := platform.NewClient(d.settings.Platform.URLs, nil, 0)
 	if err != nil {
 		return eris.Wrap(err, "platform")
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -38,7 +38,7 @@
 		return nil, errors.New("platform: no endpoint URLs")
 	}
 	if client == nil {
-		client = &http.Client{}
+		client = newHTTPClient()
 	}
 	if timeout <= 0 {
 		timeout = DefaultTimeout
