--- a/internal/transport/bench_test.go
+++ b/internal/transport/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"runtime"
 	"testing"
@@ -139,11 +140,12 @@
 		})
 	})
 	b.Run("second of an outstanding call", func(b *testing.B) {
-		done := background(b.Context(), client, proxy.address(), nil)
+		ctx, cancel := context.WithCancel(b.Context())
+		done := background(ctx, client, proxy.address(), nil)
 		<-h.arrived
 		time.Sleep(100 * time.Millisecond)
 		measure(b, seconds, func() { time.Sleep(seconds * time.Second) })
-		close(h.release)
+		cancel()
 		<-done
 	})
 }
--- a/internal/transport/config.go
+++ b/internal/transport/config.go
@@ -60,9 +60,9 @@
 // below the peer's maxIncomingStreams, a ping finds no stream, and a busy connection would count as silent.
 const maxOutstanding = maxIncomingStreams - 100
 
-// Windows of QUIC flow control, in bytes. The largest window of a stream covers 30 Mbit/s at 60 ms (225 KB). A call that
-// waits for admission holds its unread body, up to the initial window of its stream, in the connection's window; that
-// one has room for 64 of them before calls block each other.
+// Windows of QUIC flow control, in bytes. The largest window of a stream covers 30 Mbit/s at 60 ms (225 KB). A call
+// that waits for admission holds its unread body, up to the initial window of its stream, in the connection's window;
+// that one has room for 64 of them before calls block each other.
 const (
 	initialStreamWindow     = 128 << 10
 	maxStreamWindow         = 512 << 10
--- a/internal/transport/failure_test.go
+++ b/internal/transport/failure_test.go
@@ -128,7 +128,8 @@
 func TestAnswerBeforeTheEndOfTheBody(t *testing.T) {
 	a := newAuthority(t)
 	server := a.start("server", handler{call: func(s *CallStream) {
-		_ = s.Answer(wire.AnswerHeader{Outcome: call.OutcomeNotRun, Reason: call.ReasonOverload}, nil, func() int { return 2 })
+		refusal := wire.AnswerHeader{Outcome: call.OutcomeNotRun, Reason: call.ReasonOverload}
+		_ = s.Answer(refusal, nil, func() int { return 2 })
 	}}, nil)
 	client := a.start("client", handler{}, nil)
 	endless := readerFunc(func(p []byte) (int, error) { return len(p), nil })
--- a/internal/transport/pool_test.go
+++ b/internal/transport/pool_test.go
@@ -194,7 +194,7 @@
 func TestControlRefusals(t *testing.T) {
 	a := newAuthority(t)
 	received := make(chan string, 1)
-	server := a.start("server", handler{control: func(_ context.Context, from string, m *wire.Control) (*wire.Control, error) {
+	serve := func(_ context.Context, from string, m *wire.Control) (*wire.Control, error) {
 		switch m.From {
 		case "chosen":
 			return nil, &RefusalError{Code: "c", Message: "m"}
@@ -204,7 +204,8 @@
 			return &wire.Control{}, nil
 		}
 		return nil, nil
-	}}, nil)
+	}
+	server := a.start("server", handler{control: serve}, nil)
 	client := a.start("client", handler{}, nil)
 	for from, code := range map[string]string{"chosen": "c", "none": codeNoReply, "invalid": codeInvalidReply} {
 		m := &wire.Control{From: from, ConfigPull: &wire.ConfigPull{}}
