Test transfers on real daemons under kills, and close at once after a cut

Cause: at-most-once execution was proved on the table alone. A drain that had reached its limit waited 2 s more for listeners.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -358,7 +358,11 @@
 
 // close closes the listeners.
 func (d *Daemon) close(servers []*http.Server, cut int) error {
-	ctx, cancel := context.WithTimeout(context.Background(), closeLimit)
+	limit := closeLimit
+	if cut > 0 {
+		limit = 0 // the drain limit has passed already
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	for _, s := range servers {
 		if s.Shutdown(ctx) != nil {
--- /dev/null
+++ b/internal/daemon/faults_test.go
@@ -0,0 +1,139 @@
+package daemon
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// ledger counts how often each transfer ran on any backend server.
+type ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (l *ledger) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l.mu.Lock()
+	l.runs[r.URL.Path]++
+	l.mu.Unlock()
+	time.Sleep(time.Duration(len(r.URL.Path)%7) * 5 * time.Millisecond) // leaves time for a kill during the run
+	fmt.Fprint(w, "done ", r.URL.Path)
+}
+
+func (l *ledger) count(path string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[path]
+}
+
+// verdict is the last thing that a caller was told about its transfer, after all resends.
+type verdict struct {
+	outcome string
+	body    string
+}
+
+// transfer sends one transfer as a plain HTTP caller does: it takes a token, and sends it again through any entry until
+// the outcome is known or its patience ends. It takes a new token only after a proof that the earlier one did not run.
+func transfer(entries []string, path string, rng *rand.Rand) verdict {
+	token, last := "", verdict{outcome: "not-run"}
+	for range 12 {
+		got, err := try(entries[rng.IntN(len(entries))], path, token)
+		switch {
+		case err != nil:
+			if token != "" {
+				last.outcome = "unknown"
+			}
+		case got.status == http.StatusPreconditionRequired:
+			token = got.header.Get(headerToken)
+		case got.outcome() == "answered":
+			return verdict{"answered", got.body}
+		case got.outcome() == "not-run":
+			token, last.outcome = "", "not-run"
+		default:
+			last.outcome = "unknown"
+		}
+		time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
+	}
+	return last
+}
+
+// try is node.send without a failure of the test when the entry is gone.
+func try(entry, path, token string) (reply, error) {
+	req, err := http.NewRequest("POST", "http://"+entry+"/call/transfer"+path, strings.NewReader("x"))
+	if err != nil {
+		return reply{}, err
+	}
+	req.Header.Set(headerTimeout, "1s")
+	if token != "" {
+		req.Header.Set(headerToken, token)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	return readReply(resp)
+}
+
+// Guards against a transfer that runs twice, and against a caller that is told "not run" of a transfer that ran or
+// "answered" of one that didn't, while daemons are killed and restarted under load, entries among them.
+func TestTransfersUnderKills(t *testing.T) {
+	s := newSite(t)
+	s.drain = time.Millisecond // stopping cuts off what is in flight, as a kill does
+	l := &ledger{runs: make(map[string]int)}
+	var upstreams, entries []*node
+	var addresses []string
+	for range 3 {
+		upstreams = append(upstreams, s.add("transfer", l))
+		entries = append(entries, s.add("lookup", http.NotFoundHandler()))
+		addresses = append(addresses, entries[len(entries)-1].settings.CallAddress)
+	}
+	s.ready()
+	var callers sync.WaitGroup
+	var mu sync.Mutex
+	told := make(map[string]verdict)
+	for caller := range 8 {
+		callers.Go(func() {
+			rng := rand.New(rand.NewPCG(20261204, uint64(caller)))
+			for i := range 25 {
+				path := fmt.Sprintf("/%d/%s%d", caller, strings.Repeat("x", rng.IntN(7)), i)
+				v := transfer(addresses, path, rng)
+				mu.Lock()
+				told[path] = v
+				mu.Unlock()
+			}
+		})
+	}
+	finished := make(chan struct{})
+	go func() { callers.Wait(); close(finished) }()
+	s.killUntil(finished, append(upstreams, entries[1:]...))
+	totals := make(map[string]int)
+	for path, v := range told {
+		totals[v.outcome]++
+		runs := l.count(path)
+		bad := runs > 1 || v.outcome == "not-run" && runs != 0 || v.outcome == "answered" && (runs != 1 || v.body != "done "+path)
+		if bad {
+			t.Errorf("%s: told %+v, ran %d times", path, v, runs)
+		}
+	}
+	if totals["answered"] == 0 {
+		t.Errorf("nothing was answered: %v", totals)
+	}
+	t.Log(totals)
+}
+
+// killUntil kills and restarts one node after the other.
+func (s *site) killUntil(finished <-chan struct{}, nodes []*node) {
+	rng := rand.New(rand.NewPCG(20261204, 99))
+	for {
+		select {
+		case <-finished:
+			return
+		case <-time.After(time.Duration(50+rng.IntN(100)) * time.Millisecond):
+			s.restart(nodes[rng.IntN(len(nodes))])
+		}
+	}
+}
