Measure what an idle daemon spends

Cause: docs/CAPACITY.md needs the control cost of a daemon from a run. Change: BenchmarkCapacityIdle with 5, 10 and 20 daemons in one zone.

--- a/internal/daemon/capacity_test.go
+++ b/internal/daemon/capacity_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"runtime"
+	"syscall"
 	"testing"
 	"time"
 
@@ -58,3 +60,38 @@
 	runtime.ReadMemStats(&m)
 	return m.HeapAlloc
 }
+
+// BenchmarkCapacityIdle measures what a daemon spends without calls, in a zone of the given size: processor time,
+// allocated memory and goroutines.
+func BenchmarkCapacityIdle(b *testing.B) {
+	for _, daemons := range []int{5, 10, 20} {
+		b.Run(fmt.Sprintf("daemons-%d", daemons), func(b *testing.B) {
+			before := heap()
+			s := newSite(b)
+			for range daemons {
+				s.add("lookup", http.NotFoundHandler())
+			}
+			s.ready()
+			time.Sleep(2 * time.Second) // lets the gossip of the start end
+			const measured = 5 * time.Second
+			used := processorTime()
+			for b.Loop() {
+				time.Sleep(measured)
+			}
+			used = processorTime() - used
+			share := used.Seconds() / measured.Seconds() / float64(daemons) / float64(b.N)
+			b.ReportMetric(100*share, "%core/daemon")
+			b.ReportMetric(float64(heap()-before)/float64(daemons), "heap-B/daemon")
+			b.ReportMetric(float64(runtime.NumGoroutine())/float64(daemons), "goroutines/daemon")
+		})
+	}
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/daemon/setup_test.go
+++ b/internal/daemon/setup_test.go
@@ -26,7 +26,7 @@
 
 // site is a small deployment in one process: real daemons with real sockets on loopback, and test backend servers.
 type site struct {
-	t         *testing.T
+	t         testing.TB
 	authority *certs.Authority
 	document  *config.Document
 	nodes     []*node
@@ -59,7 +59,7 @@
 const testPreset = `{"retry_budget": 3, "retry_ratio": 0.1, "default_timeout": "20s", "slot_share": 1, "reserved_share": 0,
   "queue_delay": "1s", "lowest_class": "low", "link_bytes_per_second": 400000, "link_upload_share": 0.5}`
 
-func newSite(t *testing.T) *site {
+func newSite(t testing.TB) *site {
 	t.Helper()
 	authority, err := certs.NewAuthority(t.TempDir())
 	if err != nil {
@@ -168,7 +168,7 @@
 	return count
 }
 
-func waitUntil(t *testing.T, what string, f func() bool) {
+func waitUntil(t testing.TB, what string, f func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(eventually); !f(); {
 		if time.Now().After(deadline) {
@@ -178,7 +178,7 @@
 	}
 }
 
-func freeAddress(t *testing.T, network string) string {
+func freeAddress(t testing.TB, network string) string {
 	t.Helper()
 	if network == "udp" {
 		c, err := net.ListenPacket("udp", "127.0.0.1:0")
