Test an answer that the network cuts

Cause: truncation was tested by failing bodies and closed connections only. Change: a proxy drops all packets after the body of an answer and before its trailer. Conclusion: a cut answer is reported within the time of silence.

--- a/internal/transport/silent_test.go
+++ b/internal/transport/silent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -46,6 +47,34 @@
 	}
 }
 
+// Guards against an answer that is cut in the middle by the network and looks whole, or never ends for its reader.
+func TestAnswerCutByTheNetwork(t *testing.T) {
+	t.Parallel()
+	a := newAuthority(t)
+	cut := make(chan struct{})
+	server := a.start("server", handler{call: func(s *CallStream) {
+		rest := readerFunc(func([]byte) (int, error) {
+			<-cut
+			return 0, io.EOF
+		})
+		_ = s.Answer(answered(), io.MultiReader(zeros(100_000), rest), nil)
+	}}, nil)
+	proxy := newProxy(t, server.Address())
+	client := a.start("client", handler{}, nil)
+	answer, err := client.Call(within(t), proxy.address(), header(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(answer.Body, make([]byte, 100_000)); err != nil {
+		t.Fatal(err)
+	}
+	proxy.silence()
+	close(cut) // the end of the answer is sent and lost
+	if n, err := answer.Body.Read(make([]byte, 1)); n != 0 || err != io.ErrUnexpectedEOF || answer.Unspent() != 0 {
+		t.Errorf("got %d bytes, %v", n, err)
+	}
+}
+
 // Guards against calls with short timeouts that each end before the silence is noticed, so that it never is.
 func TestSilenceIsNoticedByShortCalls(t *testing.T) {
 	t.Parallel()
