Make the freeze test of lookups depend on the retry

Cause: the entry never chose the frozen upstream, so the test passed with the retry of lost calls removed. Change: the frozen upstream is the older and faster one.

--- a/internal/daemon/freeze_test.go
+++ b/internal/daemon/freeze_test.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"guavapoint.example/guavapoint/internal/settings"
 )
@@ -135,11 +136,12 @@
 // Guards against idempotent calls that wait for a frozen upstream while another one could answer.
 func TestFrozenUpstreamIsReplacedForLookups(t *testing.T) {
 	s := newSite(t)
-	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
 	entry := s.add("transfer", http.NotFoundHandler())
-	s.add("lookup", ok)
 	s.ready()
-	frozen := s.addProcess("lookup", ok)
+	// The upstream that freezes is the older and the faster one, so that the entry prefers it.
+	frozen := s.addProcess("lookup", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.add("lookup", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(50 * time.Millisecond) }))
+	waitUntil(t, "the entry knows both upstreams", func() bool { return entry.serving() == 3 })
 	for i := range 20 {
 		entry.send(t, "GET", fmt.Sprintf("lookup/%d", i), "")
 	}
