--- a/internal/core/admission/cutoff.go
+++ b/internal/core/admission/cutoff.go
@@ -17,7 +17,7 @@
 	// cutoffDeviations is the excess of offered over admitted requests that the cutoff aims at, in standard deviations
 	// of the number admitted in a window (its square root, as for random arrivals). It keeps all slots in use at any
 	// number per window and shows that the overload continues.
-	cutoffDeviations = 4
+	cutoffDeviations = 5
 	// cutoffStep is the part of the class's rank range that the first step down covers. Steps double while there is no
 	// overload, so that the cutoff crosses all classes within ten windows.
 	cutoffStep = call.Rank(1) << 24 / 128
