Hold a member that left for down instead of suspect

Cause: a monitor marked every silent predecessor as suspect, also one that had announced "leaving" and exited. Suspects still receive calls, so that 3 s after a drain callers sent calls to the address again and waited 1 s for a connection. Ruled out: a lost announcement; callers held the daemon for leaving in between, and the first slow call came 3.2 s after the exit. Change: a silent predecessor that was leaving is down at once.

--- a/internal/core/membership/node.go
+++ b/internal/core/membership/node.go
@@ -285,7 +285,8 @@
 	}
 }
 
-// monitor suspects silent predecessors and declares suspects down that stayed silent.
+// monitor suspects silent predecessors and declares suspects down that stayed silent. A silent predecessor that was
+// leaving has exited as announced and is down at once; as a suspect it would receive calls again.
 func (n *Node) monitor(now time.Time) {
 	predecessors := n.currentRing().neighbors(n.cfg.Neighbors, -1)
 	heard := make(map[string]time.Time, len(predecessors))
@@ -300,6 +301,8 @@
 			continue
 		}
 		switch {
+		case e.rec.State == StateLeaving:
+			n.mark(now, e.rec, StateDown)
 		case e.rec.State != StateSuspect:
 			n.mark(now, e.rec, StateSuspect)
 		case now.Sub(e.since) >= n.cfg.DownAfter:
