--- a/internal/core/admission/limiter_test.go
+++ b/internal/core/admission/limiter_test.go
@@ -109,6 +109,20 @@
 	}
 }
 
+// Guards against a limit of one slot for a service that is hardly used: its requests run alone, so that a slower own time
+// can't come from their concurrency, and a trial would refuse those that happen to meet.
+func TestLimitHoldsWhileRequestsRunAlone(t *testing.T) {
+	b := newBackend(1, constant(10*time.Millisecond))
+	b.run(5*time.Second, 0.02)
+	b.own = constant(50 * time.Millisecond)
+	for range 100 {
+		b.run(100*time.Millisecond, 0.02)
+		if limit := b.c.Load().Limit; limit < testSlots {
+			t.Fatalf("limit %d of %d slots", limit, testSlots)
+		}
+	}
+}
+
 // Guards against a baseline learned from an overloaded backend server: the daemon starts during an overload.
 func TestLimitFallsWhenStartedOverloaded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
