--- a/internal/core/membership/node.go
+++ b/internal/core/membership/node.go
@@ -24,9 +24,12 @@
 	GossipInterval time.Duration
 	// GossipFanout is the number of receivers of one round. Default 3; with 573 members six rounds reach all.
 	GossipFanout int
-	// GossipRate bounds the records sent by gossip, per second. Default 40, at about 60 bytes each 2.4 KB/s. What
-	// exceeds it waits, and anti-entropy carries what is left.
+	// GossipRate bounds the records sent by gossip, per second. Default 12: at 60 bytes each, sent and received, and
+	// 330 for each message it takes about 2 KB/s of the daemon's 6 KB/s. What exceeds it waits.
 	GossipRate int
+	// SyncRate bounds the records sent in tables, per second. Default 20: at 45 bytes each, sent and received, it
+	// takes 1.8 KB/s. The heartbeats need 2 KB/s.
+	SyncRate int
 	// SyncInterval is the time between comparisons with a random member. Default 10 s.
 	SyncInterval time.Duration
 	// SyncRetry is the time to the next comparison after one that found a difference. Default 2 s.
@@ -54,7 +57,8 @@
 	orDefault(&c.Contacts, 4)
 	orDefault(&c.GossipInterval, 250*time.Millisecond)
 	orDefault(&c.GossipFanout, 3)
-	orDefault(&c.GossipRate, 40)
+	orDefault(&c.GossipRate, 12)
+	orDefault(&c.SyncRate, 20)
 	orDefault(&c.SyncInterval, 10*time.Second)
 	orDefault(&c.SyncRetry, 2*time.Second)
 	orDefault(&c.SyncBuckets, 8)
@@ -62,6 +66,10 @@
 	return c
 }
 
+// resumeDrain is how long a node ignores messages after a long pause: what it finds in its buffers then is as old as the
+// pause and may hold members that the others have forgotten.
+const resumeDrain = time.Second
+
 // Output is what a node wants done.
 type Output struct {
 	// Messages are to be sent; each names its receiver in To. Losing one is harmless.
@@ -86,12 +94,15 @@
 	contacts []string
 
 	started       bool
+	startedAt     time.Time
 	lastSeen      time.Time // time of the last input
+	deafUntil     time.Time // until when messages are ignored after a long pause
 	nextHeartbeat time.Time
 	nextGossip    time.Time
 	nextSync      time.Time
-	lastRate      time.Time // when rateLeft was last filled
-	rateLeft      float64   // records that gossip may send now
+	gossipLeft    allowance
+	syncLeft      allowance
+	answersLeft   allowance // to digests
 
 	out Output
 }
@@ -167,7 +178,7 @@
 // announce stores this node's own record and queues it.
 func (n *Node) announce(now time.Time) {
 	n.store(now, n.self)
-	n.queue.add(n.self.Address, n.transmissions())
+	n.enqueue(n.self.Address)
 }
 
 // store puts a record into the table and reports it.
@@ -213,19 +224,22 @@
 	}
 	if gap >= n.cfg.ForgetAfter/2 {
 		n.discardOthers()
+		n.deafUntil = now.Add(resumeDrain)
 	}
 	n.nextSync = now
 }
 
 func (n *Node) start(now time.Time) {
 	n.started = true
+	n.startedAt = now
 	n.lastSeen = now
 	n.self.Seq = max(n.self.Seq, uint64(max(now.UnixMilli(), 1)))
 	n.nextHeartbeat = now
 	n.nextGossip = now
 	n.nextSync = now
-	n.lastRate = now
-	n.rateLeft = float64(n.cfg.GossipRate)
+	n.gossipLeft = newAllowance(now, n.cfg.GossipRate, gossipBatch)
+	n.syncLeft = newAllowance(now, n.cfg.SyncRate, syncBurst)
+	n.answersLeft = newAllowance(now, answerRate, answerBurst)
 	n.announce(now)
 }
 
@@ -262,7 +276,7 @@
 		n.nextSync = now.Add(n.jitter(n.cfg.SyncInterval))
 		n.forget(now)
 		n.rotateContacts()
-		n.sync()
+		n.sync(now)
 	}
 }
 
@@ -277,7 +291,8 @@
 	}
 }
 
-// monitor suspects silent predecessors and declares suspects down that stayed silent.
+// monitor suspects silent predecessors and declares suspects down that stayed silent. A silent predecessor that was
+// leaving has exited as announced and is down at once; as a suspect it would receive calls again.
 func (n *Node) monitor(now time.Time) {
 	predecessors := n.currentRing().neighbors(n.cfg.Neighbors, -1)
 	heard := make(map[string]time.Time, len(predecessors))
@@ -292,6 +307,8 @@
 			continue
 		}
 		switch {
+		case e.rec.State == StateLeaving:
+			n.mark(now, e.rec, StateDown)
 		case e.rec.State != StateSuspect:
 			n.mark(now, e.rec, StateSuspect)
 		case now.Sub(e.since) >= n.cfg.DownAfter:
@@ -305,7 +322,7 @@
 func (n *Node) mark(now time.Time, r Record, s State) {
 	r.State = s
 	n.store(now, r)
-	n.queue.add(r.Address, n.transmissions())
+	n.enqueue(r.Address)
 }
 
 // forget removes records that have been down for ForgetAfter.
--- a/internal/core/membership/step.go
+++ b/internal/core/membership/step.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math/bits"
+	"slices"
 	"time"
 )
 
@@ -12,12 +13,15 @@
 	// maxRelayed is the largest number of changes from one exchange within the zone that are gossiped on. A larger
 	// difference is the start of a node, of which the others need no news.
 	maxRelayed = 16
+	// joinGrace is the time after its start in which a node gets to know the members of its zone. Until then it
+	// would suspect all that another zone names.
+	joinGrace = 30 * time.Second
 )
 
 // Step handles a message. Messages for other receivers, and those a node sent to itself, are ignored.
 func (n *Node) Step(now time.Time, m Message) {
 	n.observe(now)
-	if m.From == n.self.Address || (m.To != n.self.Address && m.Kind != KindSummary) {
+	if now.Before(n.deafUntil) || m.From == n.self.Address || (m.To != n.self.Address && m.Kind != KindSummary) {
 		return
 	}
 	near := m.Zone == n.self.Zone
@@ -34,7 +38,7 @@
 	case KindAsk:
 		n.send(Message{Kind: KindGossip, To: m.From, Records: []Record{n.self}})
 	case KindDigest:
-		n.stepDigest(m, near)
+		n.stepDigest(now, m, near)
 	case KindBuckets:
 		n.stepBuckets(now, m)
 	case KindTable:
@@ -75,7 +79,7 @@
 	}
 	if relay {
 		for _, r := range changed {
-			n.queue.add(r.Address, n.transmissions())
+			n.enqueue(r.Address)
 		}
 	}
 	return changed
@@ -95,6 +99,9 @@
 		if !n.acceptUnknown(r, m) {
 			return false
 		}
+		if r.Zone == n.self.Zone && m.Zone != n.self.Zone {
+			r.State = max(r.State, StateSuspect)
+		}
 		n.store(now, r)
 		return true
 	}
@@ -114,13 +121,17 @@
 // acceptUnknown decides on a record of an address that isn't in the table. It may be one that was forgotten:
 //   - A record that is down is taken from gossip only, which ends after a bounded number of transmissions. From
 //     tables, nodes that forget at different times would return it to each other for ever.
-//   - A record of the own zone isn't taken from another zone, which may have been cut off since before the member
-//     was forgotten here. Within the zone, a member that is gone has monitors that notice.
+//   - A record of the own zone that comes from another zone is taken as suspect. The other zone may have been cut off
+//     since before the member was forgotten here, or this zone may have lost all who knew the member. Its monitors
+//     find out, and the other zone learns that it is down. A node that has just started leaves this to others.
 func (n *Node) acceptUnknown(r Record, m Message) bool {
 	if !r.Alive() && m.Kind != KindGossip {
 		return false
 	}
-	return r.Zone != n.self.Zone || m.Zone == n.self.Zone
+	if r.Zone != n.self.Zone || m.Zone == n.self.Zone {
+		return true
+	}
+	return n.lastSeen.Sub(n.startedAt) >= joinGrace
 }
 
 // refute answers a record of this node's own address that is greater than its own: a suspicion, or the record of an
@@ -144,11 +155,42 @@
 	}
 }
 
+// RemoteMember returns a member of a random other zone for a relay to exchange tables with. One choice in four may be
+// a member held for down: after two partitions at once, those held for alive may be the ones that are gone.
+func (n *Node) RemoteMember() (string, bool) {
+	anyState := n.rng.IntN(4) == 0
+	zones := make([]string, 0, len(n.table.byZone))
+	for zone := range n.table.byZone {
+		if zone != n.self.Zone {
+			zones = append(zones, zone)
+		}
+	}
+	slices.Sort(zones) // maps have no order, and the choice must follow from the random source
+	n.rng.Shuffle(len(zones), func(i, j int) { zones[i], zones[j] = zones[j], zones[i] })
+	for _, zone := range zones {
+		rs := n.table.ofZone(zone)
+		if !anyState {
+			rs = slices.DeleteFunc(rs, func(r Record) bool { return !r.Alive() })
+		}
+		if len(rs) > 0 {
+			return rs[n.rng.IntN(len(rs))].Address, true
+		}
+	}
+	return "", false
+}
+
 // sync compares tables with a random member of the zone, and with one that is down or a bootstrap peer: after a
-// partition, members of both sides hold each other for down and nobody else would contact them.
-func (n *Node) sync() {
+// partition, members of both sides hold each other for down and nobody else would contact them. A node that knows no
+// member tries all bootstrap peers, of which some may be gone.
+func (n *Node) sync(now time.Time) {
 	digest := []uint64{n.table.hash()}
 	others := n.currentRing().addresses
+	if len(others) == 1 {
+		for _, p := range n.peers {
+			n.send(Message{Kind: KindDigest, To: p, Hashes: digest})
+		}
+		n.hasten(now)
+	}
 	if len(others) > 1 {
 		to := others[n.rng.IntN(len(others))]
 		if to == n.self.Address {
@@ -180,13 +222,17 @@
 	return lost[n.rng.IntN(len(lost))], true
 }
 
-func (n *Node) stepDigest(m Message, near bool) {
+func (n *Node) stepDigest(now time.Time, m Message, near bool) {
 	if near {
 		n.checkSender(m)
 	}
 	if len(m.Hashes) == 1 && m.Hashes[0] == n.table.hash() {
 		return
 	}
+	n.answersLeft.fill(now)
+	if !n.answersLeft.take(1) {
+		return
+	}
 	n.send(Message{Kind: KindBuckets, To: m.From, Hashes: append([]uint64(nil), n.table.buckets[:]...)})
 }
 
@@ -194,7 +240,7 @@
 	if len(m.Hashes) != numBuckets {
 		return
 	}
-	mask := n.someBuckets(n.table.differing(m.Hashes))
+	mask := n.someBuckets(now, n.table.differing(m.Hashes))
 	if mask == 0 {
 		return
 	}
@@ -210,12 +256,22 @@
 	}
 }
 
-// someBuckets returns at most SyncBuckets random buckets of a mask.
-func (n *Node) someBuckets(mask uint64) uint64 {
-	for bits.OnesCount64(mask) > n.cfg.SyncBuckets {
-		mask &^= 1 << n.rng.IntN(numBuckets)
+// someBuckets returns random buckets of a mask: at most SyncBuckets, and with no more records than SyncRate leaves.
+func (n *Node) someBuckets(now time.Time, mask uint64) uint64 {
+	n.syncLeft.fill(now)
+	var chosen uint64
+	for _, b := range n.rng.Perm(numBuckets) {
+		bit := uint64(1) << b
+		size := len(n.table.inMask(mask & bit))
+		if mask&bit == 0 || !n.syncLeft.take(size) {
+			continue
+		}
+		chosen |= bit
+		if bits.OnesCount64(chosen) == n.cfg.SyncBuckets {
+			break
+		}
 	}
-	return mask
+	return chosen
 }
 
 // sendTable sends the records of the buckets in mask, in several messages if there are many. With reply set, each
@@ -253,14 +309,33 @@
 	changed := n.mergeAll(now, m, false)
 	if !near || len(changed) <= maxRelayed {
 		for _, r := range changed {
-			n.queue.add(r.Address, n.transmissions())
+			n.enqueue(r.Address)
 		}
 	}
-	if len(newer) > 0 {
+	if newer = n.affordable(now, m, newer); len(newer) > 0 {
 		n.sendTable(m.From, m.Mask, newer, false)
 	}
 }
 
+// affordable returns as many records as SyncRate leaves, those of the sender's zone first. The rest follows after a
+// later comparison.
+func (n *Node) affordable(now time.Time, m Message, rs []Record) []Record {
+	n.syncLeft.fill(now)
+	slices.SortStableFunc(rs, func(a, b Record) int {
+		return zoneOrder(a, m.Zone) - zoneOrder(b, m.Zone)
+	})
+	rs = rs[:min(len(rs), n.syncLeft.whole())]
+	n.syncLeft.take(len(rs))
+	return rs
+}
+
+func zoneOrder(r Record, first string) int {
+	if r.Zone == first {
+		return 0
+	}
+	return 1
+}
+
 // newerThan returns the records of the message's buckets that the sender lacks or holds in an older version.
 func (n *Node) newerThan(m Message) []Record {
 	theirs := make(map[string]Record, len(m.Records))
--- a/internal/core/retry/ratio.go
+++ b/internal/core/retry/ratio.go
@@ -1,6 +1,10 @@
 package retry
 
-import "time"
+import (
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+)
 
 // ratioBuckets divides the window, so that old attempts leave it in steps of a tenth.
 const ratioBuckets = 10
@@ -16,6 +20,15 @@
 	DefaultFloor = 10
 )
 
+// classShare is the part of the allowed retries that a class may use up. Under overload the least important requests are
+// refused most often; without the shares their retries would leave none to the others.
+var classShare = [call.NumClasses]float64{
+	call.ClassLow:      0.4,
+	call.ClassNormal:   0.6,
+	call.ClassHigh:     0.8,
+	call.ClassCritical: 1,
+}
+
 // RatioConfig holds the parameters of a Ratio.
 type RatioConfig struct {
 	// Ratio is the share of the recent first attempts that retries stay below. Zero allows no retries.
@@ -57,8 +70,15 @@
 
 // Allow reports whether one more retry keeps retries below the share, and records the retry if it does.
 func (r *Ratio) Allow(now time.Time) bool {
+	return r.AllowClass(now, call.ClassCritical)
+}
+
+// AllowClass is Allow for a request of the given class. Classes below critical are stopped before the share is used up,
+// and are also held to their part of it in the newest tenth of the window.
+func (r *Ratio) AllowClass(now time.Time, c call.Class) bool {
 	b := r.advance(now)
-	if r.total.retries >= r.cfg.Floor && float64(r.total.retries+1) >= r.cfg.Ratio*float64(r.total.first) {
+	share := r.cfg.Ratio * classShare[min(c, call.ClassCritical)]
+	if r.total.retries >= r.cfg.Floor && !r.withinShare(b, share, c) {
 		return false
 	}
 	b.retries++
@@ -66,6 +86,19 @@
 	return true
 }
 
+// withinShare reports whether one more retry keeps to the share.
+func (r *Ratio) withinShare(b *attempts, share float64, c call.Class) bool {
+	// Without the check of the newest bucket the retries that the whole window allows are spent at once when an overload
+	// begins. As first attempts then become fewer, none would be left for critical requests until those have left the
+	// window.
+	return r.total.below(share) && (c == call.ClassCritical || b.below(share))
+}
+
+// below reports whether one more retry stays below the share.
+func (a attempts) below(share float64) bool {
+	return float64(a.retries+1) < share*float64(a.first)
+}
+
 // SetRatio changes the share and keeps the recorded attempts.
 func (r *Ratio) SetRatio(ratio float64) {
 	r.cfg.Ratio = ratio
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"guavapoint.example/guavapoint/internal/core/call"
 	"pgregory.net/rapid"
 )
 
@@ -141,6 +142,49 @@
 	})
 }
 
+// Guards against retries of less important classes that leave none to the more important ones.
+func TestRatioLeavesRetriesToImportantClasses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := NewRatio(RatioConfig{Ratio: DefaultRatio})
+		now := time.Unix(1000, 0)
+		for range rapid.IntRange(100, 1000).Draw(t, "first attempts") {
+			r.First(now)
+		}
+		class := call.Class(rapid.IntRange(0, call.NumClasses-2).Draw(t, "class"))
+		for r.AllowClass(now, class) {
+		}
+		if !r.AllowClass(now, class+1) {
+			t.Fatalf("retries of class %v leave none to %v", class, class+1)
+		}
+	})
+}
+
+// Guards against a burst of less important retries that uses up the whole window, so that critical ones find none when
+// first attempts become fewer.
+func TestRatioLeavesCriticalRetriesAfterBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := NewRatio(RatioConfig{Ratio: DefaultRatio})
+		now := time.Unix(1000, 0)
+		class := call.Class(rapid.IntRange(0, call.NumClasses-2).Draw(t, "class"))
+		fewer := rapid.IntRange(2, 5).Draw(t, "fewer")
+		for second := range 30 {
+			overload := second >= 10
+			for i := range 1000 {
+				now = now.Add(time.Millisecond)
+				if overload && i%fewer != 0 {
+					continue
+				}
+				r.First(now)
+				for overload && r.AllowClass(now, class) {
+				}
+			}
+			if overload && !r.AllowClass(now, call.ClassCritical) {
+				t.Fatalf("no critical retry in second %d of the overload", second-10)
+			}
+		}
+	})
+}
+
 func since(times []time.Time, from time.Time) int {
 	n := 0
 	for _, t := range times {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -224,8 +224,8 @@
 	}
 }
 
-func (d *Daemon) membersChanged() {
-	d.services.setMembers(d.members.records(), d.members.servingSince)
+func (d *Daemon) membersChanged(changes []membership.Record) {
+	d.services.apply(changes, d.members.servingSince)
 }
 
 // Run serves until the context ends and the daemon has drained. It returns an error when a listener fails or the drain
@@ -269,6 +269,7 @@
 	d.tasks.Go(func() { d.tick(ctx) })
 	d.tasks.Go(func() { d.runSync(ctx) })
 	d.tasks.Go(func() { d.runContracts(ctx) })
+	d.tasks.Go(func() { d.runQuarantine(ctx, newRand()) })
 	if d.relay != nil {
 		d.tasks.Go(func() { d.relay.Run(ctx, relayInterval) })
 	}
@@ -357,7 +358,11 @@
 
 // close closes the listeners.
 func (d *Daemon) close(servers []*http.Server, cut int) error {
-	ctx, cancel := context.WithTimeout(context.Background(), closeLimit)
+	limit := closeLimit
+	if cut > 0 {
+		limit = 0 // the drain limit has passed already
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	for _, s := range servers {
 		if s.Shutdown(ctx) != nil {
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -103,7 +103,7 @@
 	if req.account.Left() == 0 {
 		return false
 	}
-	if !s.allowRetry(d.now()) {
+	if !s.allowRetry(d.now(), req.rank.Class()) {
 		d.report.retriesExhausted(req.service)
 		return false
 	}
@@ -186,7 +186,7 @@
 		if ctx.Err() != nil {
 			return attempt{result: notRun(endReason(ctx))}
 		}
-		return attempt{result: notRun(call.ReasonNoUpstream), retry: true}
+		return attempt{result: notRun(call.ReasonUnreachable), retry: true}
 	}
 	if ctx.Err() != nil {
 		return attempt{result: unknown(call.ReasonTimeout), sent: true}
--- a/internal/daemon/setup_test.go
+++ b/internal/daemon/setup_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -25,10 +26,12 @@
 
 // site is a small deployment in one process: real daemons with real sockets on loopback, and test backend servers.
 type site struct {
-	t         *testing.T
+	t         testing.TB
 	authority *certs.Authority
 	document  *config.Document
 	nodes     []*node
+	drain     time.Duration
+	platform  string // URL of the stand-in key-value service; without one the daemons start with the document
 }
 
 // node is one daemon with its backend server.
@@ -56,7 +59,7 @@
 const testPreset = `{"retry_budget": 3, "retry_ratio": 0.1, "default_timeout": "20s", "slot_share": 1, "reserved_share": 0,
   "queue_delay": "1s", "lowest_class": "low", "link_bytes_per_second": 400000, "link_upload_share": 0.5}`
 
-func newSite(t *testing.T) *site {
+func newSite(t testing.TB) *site {
 	t.Helper()
 	authority, err := certs.NewAuthority(t.TempDir())
 	if err != nil {
@@ -66,7 +69,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &site{t: t, authority: authority, document: doc}
+	return &site{t: t, authority: authority, document: doc, drain: eventually}
 }
 
 // add starts a daemon for a service. Daemons that were added earlier are its bootstrap peers.
@@ -90,7 +93,10 @@
 		AdminAddress: freeAddress(s.t, "tcp"),
 		Backend:      settings.Backend{URL: backend.URL, Slots: 8, Connections: 64},
 		TLS:          settings.TLS{Certificate: files.Certificate, Key: files.Key, Authority: files.Authority},
-		DrainLimit:   eventually,
+		DrainLimit:   s.drain,
+	}
+	if s.platform != "" {
+		cfg.Platform.URLs = []string{s.platform}
 	}
 	for _, n := range s.nodes {
 		cfg.Peers = append(cfg.Peers, n.settings.PeerAddress)
@@ -102,10 +108,11 @@
 func (s *site) restart(n *node) {
 	s.t.Helper()
 	n.stop()
-	if err := <-n.stopped; err != nil {
+	var cut *CutOffError
+	if err := <-n.stopped; err != nil && !errors.As(err, &cut) {
 		s.t.Fatal(err)
 	}
-	n.Daemon = s.run(n.settings, n.backend).Daemon
+	*n = *s.run(n.settings, n.backend)
 	s.nodes = s.nodes[:len(s.nodes)-1]
 }
 
@@ -119,9 +126,16 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	if s.platform != "" {
+		return s.start(d, backend)
+	}
 	if _, err := d.config.Offer(config.Version{Epoch: 1, Revision: 1}, s.document); err != nil {
 		s.t.Fatal(err)
 	}
+	return s.start(d, backend)
+}
+
+func (s *site) start(d *Daemon, backend *httptest.Server) *node {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{Daemon: d, backend: backend, stop: cancel, stopped: make(chan error, 1)}
 	go func() { n.stopped <- d.Run(ctx) }()
@@ -154,7 +168,7 @@
 	return count
 }
 
-func waitUntil(t *testing.T, what string, f func() bool) {
+func waitUntil(t testing.TB, what string, f func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(eventually); !f(); {
 		if time.Now().After(deadline) {
@@ -164,7 +178,7 @@
 	}
 }
 
-func freeAddress(t *testing.T, network string) string {
+func freeAddress(t testing.TB, network string) string {
 	t.Helper()
 	if network == "udp" {
 		c, err := net.ListenPacket("udp", "127.0.0.1:0")
@@ -207,9 +221,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	got, _ := readReply(resp)
+	return got
+}
+
+func readReply(resp *http.Response) (reply, error) {
 	defer resp.Body.Close()
-	data, bodyErr := io.ReadAll(resp.Body)
-	return reply{resp.StatusCode, resp.Header, string(data), bodyErr}
+	data, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(data), err}, err
 }
 
 // code returns the code of an error body.
