--- a/internal/cli/admin.go
+++ b/internal/cli/admin.go
@@ -26,6 +26,9 @@
 	maxAdminResponse = 8 << 20
 )
 
+// adminClient uses no proxy, since admin addresses are within the deployment.
+var adminClient = &http.Client{Transport: &http.Transport{}}
+
 // adminError is an error response of an admin listener.
 type adminError struct {
 	status        int
@@ -51,7 +54,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "daemon %s", a.address)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := adminClient.Do(req)
 	if err != nil {
 		return eris.Wrapf(err, "daemon %s", a.address)
 	}
--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"net/url"
 	"os/user"
 	"time"
@@ -79,7 +78,7 @@
 
 // openEditor reads the configuration to edit. The base has no document if there is none.
 func openEditor(ctx context.Context, cmd *cli.Command) (*editor, error) {
-	store, err := platform.NewClient(cmd.StringSlice("platform"), &http.Client{}, 0)
+	store, err := platform.NewClient(cmd.StringSlice("platform"), nil, 0)
 	if err != nil {
 		return nil, usageError(err)
 	}
--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -76,15 +76,20 @@
 	}
 }
 
-// Guards against a text that tells "no" for a reason whose outcome is unknown, or the reverse. The groups are those of
+// Guards against a text that tells "no" for a reason whose outcome is unknown, or the reverse, and against a plain "no" for
+// a reason that an entry also gives for a request with a token, whose outcome is unknown to it. The groups are those of
 // outcome.go: the reasons up to backend-refused accompany not-run.
 func TestExplanationsAgreeWithOutcomes(t *testing.T) {
 	unknown := map[call.Reason]bool{
 		call.ReasonConnectionLost: true, call.ReasonTimeout: true, call.ReasonIncarnationGone: true, call.ReasonAnswerNotKept: true,
 		call.ReasonStillRunning: true, call.ReasonBackendCrashed: true, call.ReasonTruncated: true,
 	}
+	byEntry := map[call.Reason]bool{
+		call.ReasonOverload: true, call.ReasonLeaving: true, call.ReasonNoUpstream: true, call.ReasonDepth: true,
+		call.ReasonCanceled: true, call.ReasonParentGone: true,
+	}
 	for r, text := range reasons {
-		if unknown[r] == (text.ran == ranNo) {
+		if unknown[r] != (text.ran == ranMaybe || text.ran == ranYes) || byEntry[r] != (text.ran == ranNotNow) {
 			t.Errorf("%s: has the request run: %s", r, text.ran)
 		}
 	}
--- a/internal/cli/reasons.go
+++ b/internal/cli/reasons.go
@@ -4,9 +4,11 @@
 
 // Whether the request that a code is about can have run.
 const (
-	ranNo    = "no"
-	ranYes   = "yes"
-	ranMaybe = "maybe"
+	ranNo = "no"
+	// ranNotNow is for refusals by a daemon that can't know what became of an earlier call with the same token.
+	ranNotNow = "no; if the outcome is unknown, an earlier call with the same token may have run"
+	ranYes    = "yes"
+	ranMaybe  = "maybe"
 	// ranNone is for log events that are not about a single request.
 	ranNone = "not about a single request"
 )
@@ -20,20 +22,24 @@
 var reasons = map[call.Reason]reasonText{
 	call.ReasonOverload: {
 		"The request was shed: it ranks below those that the capacity suffices for, or the active preset refuses its class.",
-		ranNo, "Check demand, and limit, waiting and cutoff of the upstreams with guavapoint state. If it lasts, switch to preset peak. " +
+		ranNotNow, "Check demand, and limit, waiting and cutoff of the upstreams with guavapoint state. If it lasts, switch to preset peak. " +
 			"The caller can resend after a wait; the same Guavapoint-Request-Id keeps its rank.",
 	},
 	call.ReasonLeaving: {
 		"The daemon is shutting down gracefully and takes no new work.",
-		ranNo, "Nothing; other upstreams are tried within the retry bound. A caller that uses this daemon as its entry resends through another one.",
+		ranNotNow, "Nothing; other upstreams are tried within the retry bound. A caller that uses this daemon as its entry resends through another one.",
 	},
 	call.ReasonDeadline: {
 		"Too little of the caller's time was left to start the request.",
 		ranNo, "Compare the caller's Guavapoint-Timeout with the service's latency (guavapoint_call_duration_seconds), and check for queues (guavapoint_waiting).",
 	},
 	call.ReasonNoUpstream: {
-		"No upstream of the service is known and reachable, or this daemon has no configuration yet.",
-		ranNo, "Check with guavapoint members that daemons of the service are serving, and with guavapoint state that the configuration version isn't 0.0 (event 4005).",
+		"No upstream of the service is known and usable, or this daemon has no configuration yet.",
+		ranNotNow, "Check with guavapoint members that daemons of the service are serving, and with guavapoint state that the configuration version isn't 0.0 (event 4005).",
+	},
+	call.ReasonUnreachable: {
+		"No connection to the upstream's daemon could be opened. The upstream is left out for a time after one failure.",
+		ranNo, "Nothing for a single upstream; others are tried within the retry bound. If it repeats, check that VM and the network to it (event 6001).",
 	},
 	call.ReasonWrongUpstream: {
 		"The call reached a daemon of another service, or another start of the daemon than the one it was meant for.",
@@ -69,15 +75,15 @@
 	},
 	call.ReasonDepth: {
 		"The chain of calls is deeper than 24 hops.",
-		ranNo, "Look for a cycle between services. The calls above this one in the chain did run.",
+		ranNotNow, "Look for a cycle between services. The calls above this one in the chain did run.",
 	},
 	call.ReasonCanceled: {
 		"The caller went away, or didn't send its whole request, before the request was dispatched.",
-		ranNo, "Nothing. If it is frequent, callers wait for less time than the service takes.",
+		ranNotNow, "Nothing. If it is frequent, callers wait for less time than the service takes.",
 	},
 	call.ReasonParentGone: {
 		"A child call names a request that isn't running on this daemon any more.",
-		ranNo, "Check that the backend server copies Guavapoint-Context from the request that it is serving, calls its own daemon, and makes no calls after it has responded.",
+		ranNotNow, "Check that the backend server copies Guavapoint-Context from the request that it is serving, calls its own daemon, and makes no calls after it has responded.",
 	},
 	call.ReasonBackendRefused: {
 		"The upstream's daemon could not open a connection to its backend server.",
