--- a/internal/cli/reasons.go
+++ b/internal/cli/reasons.go
@@ -125,7 +125,6 @@
 var eventRan = map[int]string{
 	1004: "requests in flight run to their end; new ones don't run",
 	1006: "maybe: the interrupted requests started",
-	1007: "maybe: the interrupted requests started",
 	4005: ranNo,
 	4006: "maybe: the reason of the call tells",
 	4007: ranNo,
@@ -133,7 +132,6 @@
 	4009: ranMaybe,
 	4010: "maybe: the request started, its response is incomplete",
 	4011: "the fields outcome and reason tell",
-	4012: ranMaybe,
 	4013: ranNo,
 	4014: ranNo,
 	5001: "maybe: the requests in flight started",
--- a/internal/daemon/bound.go
+++ b/internal/daemon/bound.go
@@ -61,7 +61,7 @@
 // safe, because the incarnation runs a token at most once. Until the incarnation says otherwise the outcome is
 // unknown: the caller may have sent the same token earlier through another entry.
 func (d *dispatcher) callBound(ctx context.Context, req *request, fields []wire.Header, body *requestBody) *result {
-	if !d.services.known(req.service, req.token.Upstream) {
+	if !d.services.announced(req.service, req.token.Upstream) {
 		return unknown(call.ReasonIncarnationGone)
 	}
 	service := d.services.get(req.service)
--- a/internal/daemon/configsync.go
+++ b/internal/daemon/configsync.go
@@ -60,6 +60,9 @@
 
 // configChanged puts a new configuration into effect and tells the acquaintances, which then pull it.
 func (d *Daemon) configChanged(v config.Version, doc *config.Document) {
+	if earlier := d.preset.Swap(&doc.Active); earlier != nil && *earlier != doc.Active {
+		d.log.Log(events.PresetChanged, *earlier, doc.Active)
+	}
 	d.gate.setConfig(d.admissionConfig(doc))
 	p := doc.ActivePreset()
 	d.link.SetConfig(d.now(), routing.LinkConfig{BytesPerSecond: p.LinkBytesPerSecond, UploadShare: p.LinkUploadShare})
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -12,6 +12,7 @@
 	"guavapoint.example/guavapoint/internal/core/call"
 	"guavapoint.example/guavapoint/internal/core/outcome"
 	"guavapoint.example/guavapoint/internal/core/quarantine"
+	"guavapoint.example/guavapoint/internal/events"
 	"guavapoint.example/guavapoint/internal/transport"
 	"guavapoint.example/guavapoint/internal/wire"
 )
@@ -44,7 +45,11 @@
 	case m.ResolveRequest != nil:
 		return &wire.Control{ResolveAnswer: d.upstream.resolveToken(m.ResolveRequest)}, nil
 	case m.Membership != nil:
-		return nil, d.members.step(m.Membership.Payload)
+		err := d.members.step(m.Membership.Payload)
+		if err != nil {
+			d.log.Log(events.MembershipInvalid, m.From, err.Error())
+		}
+		return nil, err
 	case m.Ping != nil:
 		return nil, nil // announces a configuration version, which seen has noted
 	case m.ConfigPull != nil:
@@ -108,6 +113,7 @@
 
 // spreadQuarantine sends records to the other daemons of the service.
 func (d *Daemon) spreadQuarantine(records []quarantine.Record) {
+	d.logQuarantine(records)
 	for _, address := range d.members.ofService(d.settings.Service, d.settings.PeerAddress) {
 		d.sendQuarantine(records, address)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	mrand "math/rand/v2"
 	"net"
@@ -67,8 +68,9 @@
 	upstream  *upstream
 	entry     *entry
 	sync      *control.ConfigSync
-	relay     *control.Relay // nil without a platform
-	up        atomic.Bool    // the backend server accepts connections
+	relay     *control.Relay         // nil without a platform
+	preset    atomic.Pointer[string] // name of the active preset
+	up        atomic.Bool            // the backend server accepts connections
 
 	ready chan struct{} // closed when peers can be served
 	tasks sync.WaitGroup
@@ -225,6 +227,7 @@
 }
 
 func (d *Daemon) membersChanged(changes []membership.Record) {
+	d.logMembers(changes, d.services.record)
 	d.services.apply(changes, d.members.servingSince)
 }
 
@@ -258,7 +261,11 @@
 // serve starts an HTTP server on a listener.
 func (d *Daemon) serve(l net.Listener, h http.Handler) *http.Server {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerReadLimit, MaxHeaderBytes: maxHTTPHeader}
-	d.tasks.Go(func() { _ = s.Serve(l) }) // ends with http.ErrServerClosed
+	d.tasks.Go(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			d.log.Log(events.ListenerFailed, nil, l.Addr().String(), err.Error())
+		}
+	})
 	return s
 }
 
@@ -275,21 +282,6 @@
 	}
 }
 
-// tick lets tables forget what has expired and refreshes gauges.
-func (d *Daemon) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			d.tokens.tick()
-			d.suspects.tick()
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // watchBackend announces whether the backend server accepts connections, which is how a backend server becomes known.
 func (d *Daemon) watchBackend(ctx context.Context) {
 	ticker := time.NewTicker(backendPoll)
@@ -375,6 +367,7 @@
 		return &CutOffError{Requests: cut}
 	}
 	d.log.Log(events.DrainFinished, nil)
+	d.log.Log(events.DaemonStopped, nil)
 	return nil
 }
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -14,6 +14,7 @@
 
 	"guavapoint.example/guavapoint/internal/core/call"
 	"guavapoint.example/guavapoint/internal/core/config"
+	"guavapoint.example/guavapoint/internal/events"
 )
 
 // entry takes calls over HTTP. It is safe for concurrent use.
@@ -116,6 +117,9 @@
 	var refused *notRunError
 	if errors.As(err, &refused) {
 		e.report.refused(refused.reason)
+		if refused.reason == call.ReasonDepth {
+			e.report.log.Log(events.DepthExceeded, nil, nil)
+		}
 		setOutcome(w, localOutcome(r), refused.reason)
 		writeProblem(w, http.StatusServiceUnavailable, string(refused.reason), refused.message)
 		return
@@ -124,6 +128,7 @@
 	if !errors.As(err, &bad) {
 		bad = &requestError{http.StatusInternalServerError, "internal", err.Error()}
 	}
+	e.report.logMalformed(r.RemoteAddr, bad)
 	setOutcome(w, localOutcome(r), call.Reason(bad.code))
 	writeError(w, bad)
 }
--- a/internal/daemon/reporter.go
+++ b/internal/daemon/reporter.go
@@ -35,17 +35,6 @@
 	}
 }
 
-func (r *reporter) logRefusal(req *request, reason call.Reason) {
-	switch reason {
-	case call.ReasonNoUpstream:
-		r.log.Log(events.NoUpstream, req.service)
-	case call.ReasonTableFull:
-		r.log.Log(events.TokenTableFull, nil)
-	case call.ReasonLinkBudget:
-		r.log.Log(events.LinkBudgetSpent, req.service, nil)
-	}
-}
-
 // refused counts a call that was not run.
 func (r *reporter) refused(reason call.Reason) {
 	r.telemetry.Refused(reason)
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -67,7 +67,7 @@
 	seed     uint64
 	services map[string]*service
 	members  map[string][]routing.Candidate // serving, by service
-	upstream map[string]string              // service of each address that was ever seen
+	known    map[string]membership.Record   // latest record of each address that was ever seen
 }
 
 func newServiceTable(seed uint64, newPicker func(*rand.Rand) *routing.Picker, newRatio func() *retry.Ratio,
@@ -79,7 +79,7 @@
 		seed:      seed,
 		services:  make(map[string]*service),
 		members:   make(map[string][]routing.Candidate),
-		upstream:  make(map[string]string),
+		known:     make(map[string]membership.Record),
 	}
 }
 
@@ -106,12 +106,20 @@
 	}
 }
 
-// known reports whether an address has been announced as an upstream of the service. Tokens come from callers, so an address
+// record returns the latest record of an address.
+func (t *serviceTable) record(address string) (membership.Record, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.known[address]
+	return r, ok
+}
+
+// announced reports whether an address has been announced as an upstream of the service. Tokens come from callers, so an address
 // in a token is dialed only when it is known.
-func (t *serviceTable) known(service, address string) bool {
+func (t *serviceTable) announced(service, address string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.upstream[address] == service
+	return t.known[address].Service == service
 }
 
 // apply takes records that changed. Only the services that they concern are touched, since at the target size a zone
@@ -123,11 +131,11 @@
 	defer t.mu.Unlock()
 	touched := make(map[string]bool)
 	for _, r := range changes {
-		if earlier := t.upstream[r.Address]; earlier != "" {
-			t.remove(earlier, r.Address)
-			touched[earlier] = true
+		if earlier, ok := t.known[r.Address]; ok {
+			t.remove(earlier.Service, r.Address)
+			touched[earlier.Service] = true
 		}
-		t.upstream[r.Address] = r.Service
+		t.known[r.Address] = r
 		touched[r.Service] = true
 		if r.State == membership.StateServing || r.State == membership.StateSuspect {
 			t.members[r.Service] = append(t.members[r.Service], candidate(r, since(r)))
