Run the registry deployment with one command

Change: examples/local/run.sh starts the Kingston region as 17 processes on loopback, sends calls of each kind, drains, kills, changes the preset and overloads, and compares what the callers were told with the run logs. The loads of the drain, kill and preset phases are 40 calls/s, because the check after a drain asks that no request is refused, also on a busy machine: at 80 calls/s one run in three refused requests for overload.

--- /dev/null
+++ b/examples/local/run.sh
@@ -0,0 +1,360 @@
+#!/usr/bin/env bash
+# Runs the Kingston region of the registry deployment on loopback: the stand-in key-value service, eight stand-in
+# backend servers and eight daemons, each a process of its own. Sends calls of each kind, drains and kills processes
+# under load, changes the preset, and compares what the callers were told with what the backend servers ran.
+#
+# Usage: examples/local/run.sh
+# Exits with 0 if all checks held, 1 if one failed, 130 on Ctrl-C. Needs Go and bash. Apart from the first build, it ends
+# within 60 s.
+# GUAVAPOINT_PORTS=NN replaces the first two digits of all ports, 27 by default, so that several runs fit on one
+# machine. GUAVAPOINT_KEEP=1 keeps the directory with logs and records.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+
+ports=${GUAVAPOINT_PORTS:-27}
+time_limit=55 # seconds for everything after the build
+zones="kingston-a kingston-b"
+services="lookup holdership delegation docstore"
+upstreams=8 # zones times services
+
+work=$(mktemp -d "${TMPDIR:-/tmp}/guavapoint-local.XXXXXX")
+logs=$work/logs
+runs=$work/runs
+records=$work/records
+declare -A pids=() # process name -> process id
+failures=()
+current="setup"
+
+# --- processes ---
+
+# start NAME COMMAND... runs a process in the background, with its output in a log file.
+start() {
+  local name=$1
+  shift
+  "$@" >>"$logs/$name.log" 2>&1 &
+  pids[$name]=$!
+}
+
+# reap NAME waits for a process that ends and returns its exit code.
+reap() {
+  local pid=${pids[$1]}
+  unset "pids[$1]"
+  wait "$pid"
+}
+
+# end_all ends all processes that this script started: first by SIGTERM, after three seconds by SIGKILL.
+end_all() {
+  local pid tries
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for ((tries = 0; tries < 30; tries++)); do
+    kill -0 "${pids[@]}" 2>/dev/null || break
+    sleep 0.1
+  done
+  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  wait "${pids[@]}" 2>/dev/null || true
+}
+
+finish() {
+  local status=$?
+  trap - EXIT
+  trap '' INT TERM
+  if [ "$status" -ne 0 ] && [ ${#failures[@]} -eq 0 ]; then echo "ended early in: $current (exit code $status)"; fi
+  if [ ${#pids[@]} -gt 0 ]; then end_all; fi
+  if [ -n "${GUAVAPOINT_KEEP:-}" ]; then echo "logs and records: $work"; else rm -rf "$work"; fi
+  exit "$status"
+}
+trap finish EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM
+
+# watch_time ends the script when it takes too long.
+watch_time() {
+  (
+    trap 'kill "$sleeper"; exit' TERM
+    sleep "$time_limit" &
+    sleeper=$!
+    wait "$sleeper"
+    echo "time limit of $time_limit s reached"
+    kill -TERM $$
+  ) &
+  pids[time-limit]=$!
+}
+
+# --- addresses and HTTP ---
+
+# address DAEMON PART prints ip:port; see examples/README.md for the parts of a port.
+address() {
+  local zone=1 service
+  [[ $1 == kingston-a-* ]] || zone=2
+  case $1 in
+    *-lookup) service=1 ;; *-holdership) service=2 ;; *-delegation) service=3 ;; *-docstore) service=4 ;;
+  esac
+  echo "127.0.0.1:$ports$zone$service$2"
+}
+call_address() { address "$1" 2; }
+admin_address() { address "$1" 3; }
+backend_address() { address "$1" 4; }
+platform_address="127.0.0.1:${ports}001"
+
+daemons() {
+  local zone service
+  for zone in $zones; do for service in $services; do echo "$zone-$service"; done; done
+}
+
+# http_get IP:PORT PATH prints a response with its header. It fails when nothing listens.
+http_get() {
+  local fd
+  { exec {fd}<>"/dev/tcp/${1%:*}/${1#*:}"; } 2>/dev/null || return 1
+  printf 'GET %s HTTP/1.0\r\nHost: %s\r\n\r\n' "$2" "$1" >&"$fd"
+  cat <&"$fd" || true
+  exec {fd}>&-
+}
+
+state() { http_get "$(admin_address "$1")" /state; }
+
+# count TEXT PATTERN prints how often a fixed pattern occurs.
+count() { grep -oF -- "$2" <<<"$1" | wc -l; }
+
+# await SECONDS WHAT COMMAND... repeats a command until it succeeds.
+await() {
+  local deadline=$((SECONDS + $1)) what=$2
+  shift 2
+  until "$@"; do
+    if ((SECONDS >= deadline)); then
+      echo "gave up waiting until $what"
+      return 1
+    fi
+    sleep 0.1
+  done
+}
+
+# --- checks ---
+
+step() {
+  current=$1
+  echo
+  echo "== $current"
+}
+
+# check WHAT COMMAND... runs a command and notes whether it succeeded.
+check() {
+  local what=$1
+  shift
+  if "$@"; then
+    echo "ok: $what"
+  else
+    echo "FAILED: $what"
+    failures+=("$what")
+  fi
+}
+
+# ran KEY [SERVICE] prints how often a root request, or a child call of it in a service, ran.
+ran() {
+  if [ $# -eq 1 ]; then
+    cat "$runs"/*.log | grep -cE "^[A-Z]+ $1\$" || true
+  else
+    cat "$runs"/*-"$2".log | grep -cE "^[A-Z]+ $1(/|\$)" || true
+  fi
+}
+
+ran_once() { [ "$(ran "$1")" -eq 1 ]; }
+
+ran_in_all_services() {
+  local service
+  for service in $services; do [ "$(ran "$1" "$service")" -ge 1 ] || return 1; done
+}
+
+# all_answered TABLE checks that a load report shows no request without a successful answer.
+all_answered() {
+  awk '/^ *class/ { next }
+    /^ *(critical|high|normal|low) / { sent += $2; good += $3 }
+    END { exit !(sent > 0 && sent == good) }' "$1"
+}
+
+# --- deployment ---
+
+build() {
+  go build -o "$work" ./cmd/guavapoint ./cmd/guavapoint-standin
+}
+
+prepare() {
+  mkdir -p "$logs" "$runs" "$records" "$work/settings"
+  "$work/guavapoint-standin" certs --dir "$work/tls" $(daemons)
+  local name
+  for name in $(daemons); do
+    sed "s/127\.0\.0\.1:21/127.0.0.1:$ports/" "examples/registry/settings/$name.json" >"$work/settings/$name.json"
+  done
+}
+
+start_backend() {
+  start "backend-$1" "$work/guavapoint-standin" backend --config "examples/registry/backends/${1##*-}.json" \
+    --name "$1" --listen "$(backend_address "$1")" --daemon "$(call_address "$1")" --run-log "$runs/$1.log"
+}
+
+start_daemon() {
+  start "daemon-$1" "$work/guavapoint" daemon --settings "$work/settings/$1.json"
+}
+
+start_deployment() {
+  start platform "$work/guavapoint-standin" kv --listen "$platform_address" \
+    --put guavapoint/config=examples/registry/config.json
+  local name
+  for name in $(daemons); do start_backend "$name"; done
+  for name in $(daemons); do start_daemon "$name"; done
+}
+
+# knows_all DAEMON succeeds when a daemon and all members in its table serve, under the preset "ordinary".
+knows_all() {
+  local s
+  s=$(state "$1") || return 1
+  [ "$(count "$s" '"state":"serving"')" -eq $((upstreams + 1)) ] && [[ $s == *'"active_preset":"ordinary"'* ]]
+}
+
+all_know_all() {
+  local name
+  for name in $(daemons); do knows_all "$name" || return 1; done
+}
+
+# set_preset NAME changes the active preset as an operator does and waits until all daemons have it in effect.
+set_preset() {
+  local name flags=()
+  for name in $(daemons); do flags+=(--daemon "$(admin_address "$name")"); done
+  "$work/guavapoint" preset set --platform "http://$platform_address" --by example --wait --wait-limit 4s "${flags[@]}" "$1"
+}
+
+# --- calls ---
+
+call() {
+  "$work/guavapoint-standin" call "$@"
+}
+
+entry_a=$(call_address kingston-a-lookup)
+entry_b=$(call_address kingston-b-lookup)
+
+# start_load NAME RATE DURATION [FLAGS] sends the registry's mix in the background and records what the callers were told.
+start_load() {
+  local name=$1 rate=$2 duration=$3
+  shift 3
+  "$work/guavapoint-standin" load --entry "$entry_a" --entry "$entry_b" --mix examples/registry/mix.json \
+    --rate "$rate" --duration "$duration" --key-prefix "$name-" --record "$records/$name.jsonl" "$@" \
+    >"$records/$name.table" 2>&1 &
+  pids[load]=$!
+}
+
+end_load() {
+  check "the load generator of phase $1 ended without an error" reap load
+  cat "$records/$1.table"
+}
+
+kinds_of_calls() {
+  step "each kind of call, through entry daemons"
+  check "lookup" call --entry "$entry_a" GET lookup/blocks/b1
+  check "allocation" call --entry "$entry_b" --body-bytes 300 POST holdership/allocations/a1
+  check "transfer" call --entry "$entry_a" --body-bytes 500 POST holdership/transfers/t1
+  check "document upload" call --entry "$entry_b" --body-bytes 50000 --upload PUT docstore/documents/d1
+
+  step "a transfer sent twice with one token, through two entry daemons"
+  check "both callers get the same answer" \
+    call --entry "$entry_a" --entry "$entry_b" --times 2 --key twice --body-bytes 500 POST holdership/transfers/t2
+  check "the transfer ran once" ran_once twice
+
+  step "a document of 5 MB"
+  check "the SHA-256 of the document comes back" \
+    call --entry "$entry_a" --timeout 10s --body-bytes 5000000 --upload PUT docstore/documents/d2
+
+  step "a chain of four services"
+  check "the lookup is answered" call --entry "$entry_b" --key chain GET lookup/blocks/b2
+  check "it ran in lookup, holdership, delegation and docstore" ran_in_all_services chain
+}
+
+drain_under_load() {
+  step "kingston-a-holdership leaves under load: SIGTERM to the daemon, then to its backend server"
+  start_load drain 40 5s
+  sleep 1.5
+  kill -TERM "${pids[daemon-kingston-a-holdership]}"
+  check "the daemon finished its requests and exited with 0" reap daemon-kingston-a-holdership
+  kill -TERM "${pids[backend-kingston-a-holdership]}"
+  check "the backend server exited with 0" reap backend-kingston-a-holdership
+  end_load drain
+  check "no request failed or was cut off" all_answered "$records/drain.table"
+  start_backend kingston-a-holdership
+  start_daemon kingston-a-holdership
+}
+
+kill_under_load() {
+  step "SIGKILL under load: a backend server of docstore, then a daemon of delegation"
+  await 10 "kingston-a-holdership serves again" all_know_all
+  start_load kill 40 5s
+  sleep 1.5
+  kill -KILL "${pids[backend-kingston-a-docstore]}"
+  reap backend-kingston-a-docstore 2>/dev/null || true
+  sleep 1.5
+  kill -KILL "${pids[daemon-kingston-b-delegation]}"
+  reap daemon-kingston-b-delegation 2>/dev/null || true
+  end_load kill
+  start_backend kingston-a-docstore
+  start_daemon kingston-b-delegation
+}
+
+change_preset() {
+  step "preset changed to peak under load"
+  await 10 "the killed processes serve again" all_know_all
+  start_load preset 40 4s
+  sleep 1
+  check "peak is accepted, and in effect on all daemons within 4 s" set_preset peak
+  end_load preset
+  echo "class low, which peak refuses, after the change:"
+  check "a call of class low is refused as not run" refused_as_overload
+  check "ordinary is accepted, and in effect on all daemons within 4 s" set_preset ordinary
+}
+
+refused_as_overload() {
+  local told
+  if told=$(call --entry "$entry_a" --key refused GET lookup/exports/e1 2>/dev/null); then return 1; fi
+  echo "$told"
+  [[ $told == *not-run*overload* ]] && [ "$(ran refused)" -eq 0 ]
+}
+
+overload() {
+  step "overload: 900 calls/s, more than the slots of delegation take"
+  start_load overload 900 5s --timeout 1s
+  end_load overload
+  check "calls were shed as not run" grep -q 'not-run/overload' "$records/overload.table"
+  check "calls of class critical still succeed" awk '$1 == "critical" { exit !($3 > 0) }' "$records/overload.table"
+}
+
+compare() {
+  step "what the callers were told, compared with the run logs of the backend servers"
+  local file flags=()
+  for file in "$records"/*.jsonl; do flags+=(--record "$file"); done
+  for file in "$runs"/*.log; do flags+=(--run-log "$file"); done
+  check "nothing ran twice that must not, and nothing ran that was told not-run" \
+    "$work/guavapoint-standin" verify "${flags[@]}"
+}
+
+summary() {
+  step "summary"
+  if [ ${#failures[@]} -eq 0 ]; then
+    echo "all checks held ($SECONDS s)"
+    return 0
+  fi
+  echo "${#failures[@]} checks failed ($SECONDS s):"
+  printf '  %s\n' "${failures[@]}"
+  return 1
+}
+
+step "build"
+build
+SECONDS=0
+watch_time
+step "start of $upstreams daemons, $upstreams backend servers and the key-value service on ports ${ports}xxx"
+prepare
+start_deployment
+await 15 "all daemons serve" all_know_all
+kinds_of_calls
+drain_under_load
+kill_under_load
+change_preset
+overload
+compare
+summary
