Measure what the daemons add to a call

Change: guavapoint-standin overhead makes the same call directly to a backend server and through two daemons, in turn and one at a time, and reports both distributions, their difference and ratio, and the CPU time per call from process_cpu_seconds_total of each daemon. examples/local/thin-path.sh starts the processes.

--- a/cmd/guavapoint-standin/main.go
+++ b/cmd/guavapoint-standin/main.go
@@ -53,7 +53,7 @@
 		Name:            "guavapoint-standin",
 		Usage:           "stand-in backend servers, callers and platform for trials of guavapoint",
 		HideHelpCommand: true,
-		Commands:        []*cli.Command{backendCommand(), callCommand(), loadCommand(), verifyCommand(), kvCommand(), certsCommand()},
+		Commands:        []*cli.Command{backendCommand(), callCommand(), loadCommand(), verifyCommand(), overheadCommand(), kvCommand(), certsCommand()},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			if cmd.Args().Present() {
 				return usagef("unknown command %q; see guavapoint-standin --help", cmd.Args().First())
