--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -8,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"guavapoint.example/guavapoint"
 )
 
 // ledger counts how often each transfer ran on any backend server.
@@ -61,6 +64,25 @@
 	return last
 }
 
+// transferByLibrary sends one transfer through the caller library.
+func transferByLibrary(t *testing.T, client *guavapoint.Client, path string) verdict {
+	resp, err := client.Do(t.Context(), &guavapoint.Request{Service: "transfer", Method: "POST", Path: path, Body: []byte("x"),
+		Timeout: 2 * time.Second})
+	var notRun *guavapoint.NotRunError
+	var unknown *guavapoint.UnknownError
+	switch {
+	case err == nil:
+		return verdict{"answered", string(resp.Body)}
+	case errors.As(err, &notRun):
+		return verdict{outcome: "not-run"}
+	case errors.As(err, &unknown):
+		return verdict{outcome: "unknown"}
+	default:
+		t.Errorf("%s: %v", path, err)
+		return verdict{outcome: "unknown"}
+	}
+}
+
 // try is node.send without a failure of the test when the entry is gone.
 func try(entry, path, token string) (reply, error) {
 	req, err := http.NewRequest("POST", "http://"+entry+"/call/transfer"+path, strings.NewReader("x"))
@@ -92,6 +114,11 @@
 		addresses = append(addresses, entries[len(entries)-1].settings.CallAddress)
 	}
 	s.ready()
+	client, err := guavapoint.NewClient(guavapoint.Config{Entries: addresses})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
 	var callers sync.WaitGroup
 	var mu sync.Mutex
 	told := make(map[string]verdict)
@@ -100,7 +127,12 @@
 			rng := rand.New(rand.NewPCG(20261204, uint64(caller)))
 			for i := range 25 {
 				path := fmt.Sprintf("/%d/%s%d", caller, strings.Repeat("x", rng.IntN(7)), i)
-				v := transfer(addresses, path, rng)
+				var v verdict
+				if caller%2 == 0 {
+					v = transfer(addresses, path, rng)
+				} else {
+					v = transferByLibrary(t, client, path)
+				}
 				mu.Lock()
 				told[path] = v
 				mu.Unlock()
