--- a/internal/daemon/rolling_test.go
+++ b/internal/daemon/rolling_test.go
@@ -15,7 +15,7 @@
 func TestRollingReplacementFailsNoRequest(t *testing.T) {
 	s := newSite(t)
 	ok := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond) // longer than the interval at which a draining daemon looks whether it can exit
 		fmt.Fprint(w, "done ", r.URL.Path)
 	})
 	var addresses []string
