Keep the reason when all upstreams refuse a call

Cause: when every upstream had been tried, the next choice failed and its reason no-upstream replaced that of the last refusal. Change: the last refusal is the result, for calls and for token requests. Conclusion: TestRefusalOfAllUpstreamsKeepsItsReason failed before ("not-run no-upstream, want not-run leaving") and passes now.

--- a/internal/daemon/bound.go
+++ b/internal/daemon/bound.go
@@ -16,12 +16,12 @@
 // second call.
 func (d *dispatcher) requestToken(ctx context.Context, req *request) *result {
 	service := d.services.get(req.service)
-	last := notRun(call.ReasonNoUpstream)
+	var last *result
 	var tried []string
 	for range maxTokenAttempts {
 		target, err := service.pick(d.now(), routing.Query{Rank: req.rank, Exclude: tried})
 		if err != nil {
-			return worse(last, notRun(pickReason(err)))
+			return unpicked(last, err)
 		}
 		tried = append(tried, target.Address)
 		grant := d.askToken(ctx, req, service, target)
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -60,7 +60,7 @@
 			target, err = service.pick(d.now(), d.query(req, body, nil))
 		}
 		if err != nil {
-			return worse(last, notRun(pickReason(err)))
+			return unpicked(last, err)
 		}
 		tried = append(tried, target.Address)
 		a := d.send(ctx, req, target, fields, body, func(r routing.Result) {
@@ -73,6 +73,15 @@
 	}
 }
 
+// unpicked is the result where no further upstream can be tried. When all have refused, the last refusal says more than
+// "no upstream", which sends operators looking for daemons that don't run.
+func unpicked(last *result, err error) *result {
+	if last != nil && errors.Is(err, routing.ErrNoUpstream) {
+		return last
+	}
+	return worse(last, notRun(pickReason(err)))
+}
+
 // mayTryAgain reports whether an upstream that was tried before is worth another attempt when no other is left. A
 // connection that broke says little about the upstream; a refusal does.
 func mayTryAgain(last *result) bool {
--- /dev/null
+++ b/internal/daemon/refusal_test.go
@@ -0,0 +1,23 @@
+package daemon
+
+import (
+	"net/http"
+	"testing"
+)
+
+// Guards against "no-upstream" for a call that all upstreams have refused: it raises an alarm about daemons that don't
+// run, and hides the reason from the caller.
+func TestRefusalOfAllUpstreamsKeepsItsReason(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			s := newSite(t)
+			entry := s.add("lookup", http.NotFoundHandler())
+			leaving := s.add("transfer", http.NotFoundHandler())
+			s.ready()
+			leaving.drain.begin(leaving.now()) // without the announcement
+			if got := entry.send(t, method, "transfer/x", ""); got.outcome() != "not-run" || got.reason() != "leaving" {
+				t.Errorf("%s %s, want not-run leaving", got.outcome(), got.reason())
+			}
+		})
+	}
+}
