Bind all addresses before a daemon is created

The most likely cause is a TCP port that a connection of another test held when Run bound it: Run's error went unnoticed by the test. Not proved: the log of that daemon is gone. Ruled out: a longer wait; 30 s are far above the join time of about 1 s. Change: New binds all listeners and reports a port that is taken; tests use ports below the system's range for outgoing connections and try again. Run and what follows move to run.go.

--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,169 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/membership"
+	"guavapoint.example/guavapoint/internal/core/quarantine"
+	"guavapoint.example/guavapoint/internal/events"
+)
+
+const (
+	// drainPoll is the interval at which a draining daemon checks whether it can exit.
+	drainPoll = 20 * time.Millisecond
+	// backendPoll is the interval at which the daemon checks whether its backend server accepts connections. Calls that fail
+	// show a dead backend server earlier; the check finds it without calls.
+	backendPoll = 500 * time.Millisecond
+	// closeLimit bounds the closing of listeners after the drain; whatever is still open then was cut off by the drain limit.
+	closeLimit = 2 * time.Second
+	// headerReadLimit ends connections whose caller never completes a header.
+	headerReadLimit = 10 * time.Second
+	// maxHTTPHeader leaves room for the message's own fields within wire.MaxHeader, in bytes.
+	maxHTTPHeader = 48 << 10
+)
+
+// Run serves until the context ends and the daemon has drained. It returns a *CutOffError when
+// the drain limit has cut requests off.
+func (d *Daemon) Run(ctx context.Context) error {
+	started := d.now()
+	background, stop := context.WithCancel(context.Background())
+	defer d.tasks.Wait()
+	defer stop()
+	servers := []*http.Server{d.serve(d.calls, d.entry.router()), d.serve(d.admin, d.adminRouter())}
+	d.log.Log(events.DaemonStarting, nil, d.settings.PeerAddress, d.settings.CallAddress, d.settings.AdminAddress,
+		d.settings.Backend.URL)
+	d.start(background)
+	d.log.Log(events.DaemonServing, d.now().Sub(started).String())
+	stopDrain := context.AfterFunc(ctx, d.Drain)
+	defer stopDrain()
+	cut := d.awaitDrain()
+	return d.close(servers, cut)
+}
+
+// serve starts an HTTP server on a listener.
+func (d *Daemon) serve(l net.Listener, h http.Handler) *http.Server {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerReadLimit, MaxHeaderBytes: maxHTTPHeader}
+	d.tasks.Go(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			d.log.Log(events.ListenerFailed, nil, l.Addr().String(), err.Error())
+		}
+	})
+	return s
+}
+
+// start runs the periodic tasks until the context ends.
+func (d *Daemon) start(ctx context.Context) {
+	d.tasks.Go(func() { d.members.run(ctx) })
+	d.tasks.Go(func() { d.watchBackend(ctx) })
+	d.tasks.Go(func() { d.tick(ctx) })
+	d.tasks.Go(func() { d.runSync(ctx) })
+	d.tasks.Go(func() { d.runContracts(ctx) })
+	d.tasks.Go(func() { d.runQuarantine(ctx, newRand()) })
+	if d.relay != nil {
+		d.tasks.Go(func() { d.relay.Run(ctx, relayInterval) })
+	}
+}
+
+// watchBackend announces whether the backend server accepts connections, which is how a backend server becomes known.
+func (d *Daemon) watchBackend(ctx context.Context) {
+	ticker := time.NewTicker(backendPoll)
+	defer ticker.Stop()
+	for {
+		if !d.backend.reachable() {
+			d.backendGone()
+		} else if d.up.CompareAndSwap(false, true) && !d.drain.draining() {
+			d.members.setState(membership.StateServing)
+			d.log.Log(events.BackendAvailable, nil)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// backendCrashed records the requests that were in flight when the backend server died.
+func (d *Daemon) backendCrashed(inFlight []quarantine.Fingerprint) {
+	d.log.Log(events.BackendCrashed, len(inFlight), nil)
+	d.suspects.crashed(inFlight)
+	d.backendGone()
+}
+
+// backendGone tells the others to send nothing until the backend server accepts connections again.
+func (d *Daemon) backendGone() {
+	if d.up.CompareAndSwap(true, false) && !d.drain.draining() {
+		d.members.setState(membership.StateStarting)
+	}
+}
+
+func (d *Daemon) memberState() membership.State {
+	switch {
+	case d.drain.draining():
+		return membership.StateLeaving
+	case d.up.Load():
+		return membership.StateServing
+	default:
+		return membership.StateStarting
+	}
+}
+
+// Drain starts a graceful shutdown. New work is refused at once, whether or not the others have heard.
+func (d *Daemon) Drain() {
+	if d.drain.draining() {
+		return
+	}
+	d.drain.begin(d.now())
+	d.members.setState(membership.StateLeaving)
+	d.log.Log(events.DrainBegun, nil, d.drain.inFlight(), d.settings.DrainLimit.String())
+}
+
+// awaitDrain waits until the daemon may exit, and returns the number of requests that the limit cut off.
+func (d *Daemon) awaitDrain() int {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for range ticker.C {
+		if d.drain.done(d.now()) {
+			return d.drain.inFlight()
+		}
+	}
+	return 0
+}
+
+// close closes the listeners.
+func (d *Daemon) close(servers []*http.Server, cut int) error {
+	limit := closeLimit
+	if cut > 0 {
+		limit = 0 // the drain limit has passed already
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	for _, s := range servers {
+		if s.Shutdown(ctx) != nil {
+			s.Close()
+		}
+	}
+	_ = d.transport.Close(ctx) // streams that are open now were counted in cut
+	if cut > 0 {
+		d.log.Log(events.DrainLimit, cut, d.settings.DrainLimit.String())
+		return &CutOffError{Requests: cut}
+	}
+	d.log.Log(events.DrainFinished, nil)
+	d.log.Log(events.DaemonStopped, nil)
+	return nil
+}
+
+// CutOffError reports a drain that reached its limit with requests in flight.
+type CutOffError struct {
+	Requests int
+}
+
+// Error implements error.
+func (e *CutOffError) Error() string {
+	return fmt.Sprintf("drain limit reached with %d requests in flight", e.Requests)
+}
--- a/internal/daemon/setup_test.go
+++ b/internal/daemon/setup_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -122,10 +124,12 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	d, err := New(cfg, events.Discard(), tel)
-	if err != nil {
-		s.t.Fatal(err)
-	}
+	// Connections of other tests can take a free port for a moment.
+	var d *Daemon
+	waitUntil(s.t, "the daemon's ports are free", func() bool {
+		d, err = New(cfg, events.Discard(), tel)
+		return err == nil
+	})
 	if s.platform != "" {
 		return s.start(d, backend)
 	}
@@ -178,22 +182,33 @@
 	}
 }
 
+// freeAddress returns a loopback address that is free now. Its port is below the range from which the system takes
+// ports for outgoing connections (32768 and above), so that a connection of another test rarely takes it.
 func freeAddress(t testing.TB, network string) string {
 	t.Helper()
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000))
+		if isFree(network, address) {
+			return address
+		}
+	}
+	t.Fatal("found no free port")
+	return ""
+}
+
+func isFree(network, address string) bool {
 	if network == "udp" {
-		c, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+		c, err := net.ListenPacket("udp", address)
+		if err == nil {
+			c.Close()
 		}
-		defer c.Close()
-		return c.LocalAddr().String()
+		return err == nil
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	l, err := net.Listen("tcp", address)
+	if err == nil {
+		l.Close()
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return err == nil
 }
 
 // reply is what a caller saw.
