Probe silent members before suspecting them

Cause: measuring the start of 573 members at once showed a storm. A node with an incomplete table monitors members that don't know of it yet and so send it no heartbeats; it suspected and declared them down. 573 tables held 44,244 records of suspect or down members after 110 s, and no two tables were equal. Change: a monitor asks a member that has been silent for half of SuspectAfter for its record, once per heartbeat interval; the answer ends the silence. A node that is asked learns of an unknown asker the same way. Ruled out: higher rates, which only shorten the storm and exceed 6 KB/s; a grace time after the start, which a slow start exceeds.

--- a/internal/core/membership/converge_test.go
+++ b/internal/core/membership/converge_test.go
@@ -259,3 +259,20 @@
 		}
 	}
 }
+
+// Guards against suspicions while tables are incomplete: with 573 members started at once, monitors whose members
+// didn't know of them yet once caused 44,244 records of suspect or down members after 110 s.
+func TestStartOfAZoneSuspectsNobody(t *testing.T) {
+	s := newSim(Config{}, 1, 150, 1)
+	s.startAll()
+	for range 30 {
+		s.run(time.Second)
+		for _, a := range s.order {
+			for _, r := range s.nodes[a].node.Members() {
+				if r.State >= StateSuspect {
+					t.Fatalf("%s holds %v", a, r)
+				}
+			}
+		}
+	}
+}
--- a/internal/core/membership/node.go
+++ b/internal/core/membership/node.go
@@ -90,6 +90,7 @@
 	ring     ring
 	ringOld  bool
 	heard    map[string]time.Time // last message of each monitored member
+	probed   map[string]time.Time // last probe of each silent member
 	queue    rumors
 	contacts []string
 
@@ -111,6 +112,7 @@
 // addresses the node contacts until it knows members and now and then afterwards.
 func New(cfg Config, self Record, peers []string, rng *rand.Rand) *Node {
 	n := &Node{cfg: cfg.withDefaults(), self: self, rng: rng, table: newTable(), heard: make(map[string]time.Time)}
+	n.probed = make(map[string]time.Time)
 	for _, p := range peers {
 		if p != self.Address {
 			n.peers = append(n.peers, p)
@@ -303,6 +305,7 @@
 		heard[p] = last
 		e := n.table.entries[p]
 		if now.Sub(last) < n.cfg.SuspectAfter {
+			n.probe(now, p, last)
 			continue
 		}
 		switch {
@@ -313,6 +316,22 @@
 		}
 	}
 	n.heard = heard
+	for p := range n.probed {
+		if _, monitored := heard[p]; !monitored {
+			delete(n.probed, p)
+		}
+	}
+}
+
+// probe asks a silent predecessor for its record before it is suspected. While tables are incomplete, as after the start
+// of a whole zone, the predecessor may not know that this node expects its heartbeats.
+func (n *Node) probe(now time.Time, address string, last time.Time) {
+	silent := now.Sub(last)
+	if silent < n.cfg.SuspectAfter/2 || now.Before(n.probed[address].Add(n.cfg.HeartbeatInterval)) {
+		return
+	}
+	n.probed[address] = now
+	n.send(Message{Kind: KindAsk, To: address})
 }
 
 // mark changes the state of another member's record at its Seq, which the member can refute with a higher one.
--- a/internal/core/membership/step.go
+++ b/internal/core/membership/step.go
@@ -36,6 +36,9 @@
 	case KindGossip:
 		n.mergeAll(now, m, true)
 	case KindAsk:
+		if near {
+			n.checkSender(m)
+		}
 		n.send(Message{Kind: KindGossip, To: m.From, Records: []Record{n.self}})
 	case KindDigest:
 		n.stepDigest(now, m, near)
