Redirect heartbeats that come to the wrong member

Change: a member that gets a heartbeat although others follow the sender on the ring tells the sender who these are, at most 50 times a second. Ruled out: more bootstrap peers, which only divides the load, and answering nothing, as the sender would go on. Without the redirection the new test fails ("was told []").

--- a/internal/core/membership/converge_test.go
+++ b/internal/core/membership/converge_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -276,3 +277,29 @@
 		}
 	}
 }
+
+// Guards against heartbeats that keep going to members that don't follow their sender on the ring.
+func TestHeartbeatToTheWrongMemberIsRedirected(t *testing.T) {
+	s := newSim(Config{}, 1, 20, 1)
+	s.startAll()
+	s.run(30 * time.Second)
+	n := s.nodes[s.order[0]].node
+	for _, from := range s.order[1:] {
+		n.Ready()
+		n.Step(s.now, Message{Kind: KindHeartbeat, From: from, To: n.Self().Address, Zone: "z0",
+			Incarnation: s.nodes[from].node.Self().Incarnation, Seq: s.nodes[from].node.Self().Seq, State: StateServing})
+		successors := s.nodes[from].node.currentRing().neighbors(4, 1)
+		var told []string
+		for _, m := range n.Ready().Messages {
+			for _, r := range m.Records {
+				told = append(told, r.Address)
+			}
+		}
+		if slices.Contains(successors, n.Self().Address) {
+			successors = nil
+		}
+		if !slices.Equal(told, successors) {
+			t.Errorf("%s was told %v, want %v", from, told, successors)
+		}
+	}
+}
--- a/internal/core/membership/gossip.go
+++ b/internal/core/membership/gossip.go
@@ -32,6 +32,10 @@
 	answerBurst = 8
 )
 
+// redirectRate bounds the redirections, about 500 bytes each, per second. A redirection ends a stream of heartbeats, so
+// that a burst at a start soon pays.
+const redirectRate = 50
+
 // allowance limits records by a rate; at most burst of them are saved up.
 type allowance struct {
 	rate, burst, left float64
--- a/internal/core/membership/node.go
+++ b/internal/core/membership/node.go
@@ -104,6 +104,7 @@
 	gossipLeft    allowance
 	syncLeft      allowance
 	answersLeft   allowance // to digests
+	redirectsLeft allowance
 
 	out Output
 }
@@ -242,6 +243,7 @@
 	n.gossipLeft = newAllowance(now, n.cfg.GossipRate, gossipBatch)
 	n.syncLeft = newAllowance(now, n.cfg.SyncRate, syncBurst)
 	n.answersLeft = newAllowance(now, answerRate, answerBurst)
+	n.redirectsLeft = newAllowance(now, redirectRate, redirectRate)
 	n.announce(now)
 }
 
--- a/internal/core/membership/step.go
+++ b/internal/core/membership/step.go
@@ -32,6 +32,7 @@
 	case KindHeartbeat:
 		if near {
 			n.checkSender(m)
+			n.redirect(now, m.From)
 		}
 	case KindGossip:
 		n.mergeAll(now, m, true)
@@ -72,6 +73,23 @@
 	}
 }
 
+// redirect tells a member whose heartbeat came here although others follow it on the ring who these are. When a whole
+// zone starts, its members know only the bootstrap peers at first, and all heartbeats go there.
+func (n *Node) redirect(now time.Time, from string) {
+	successors := n.currentRing().after(from, n.cfg.Neighbors)
+	n.redirectsLeft.fill(now)
+	if slices.Contains(successors, n.self.Address) || !n.redirectsLeft.take(1) {
+		return
+	}
+	m := Message{Kind: KindGossip, To: from}
+	for _, a := range successors {
+		if r, ok := n.table.get(a); ok {
+			m.Records = append(m.Records, r)
+		}
+	}
+	n.send(m)
+}
+
 // mergeAll merges the records of a message and returns those that changed something here.
 func (n *Node) mergeAll(now time.Time, m Message, relay bool) []Record {
 	var changed []Record
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -228,3 +228,16 @@
 	}
 	return out
 }
+
+// after returns up to n members that follow an address, which need not be on the ring.
+func (r ring) after(address string, n int) []string {
+	size := len(r.addresses)
+	i := sort.Search(size, func(i int) bool { return Before(address, r.addresses[i]) })
+	out := make([]string, 0, n)
+	for k := 0; k < size && len(out) < n; k++ {
+		if a := r.addresses[(i+k)%size]; a != address {
+			out = append(out, a)
+		}
+	}
+	return out
+}
