Keep draining daemons alive in tests of refusals

Cause: tests began a drain with nothing in flight; the daemon exited within 20 ms, and calls met an unreachable address instead of the refusal ("not-run unreachable, want not-run leaving", four of four runs). Change: holdDrain keeps one request in flight, so that the refusal itself is tested. The expectations are unchanged. Conclusion: the tests no longer depend on the time of the exit.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -156,8 +156,7 @@
 	leaving := s.add("lookup", ok)
 	s.add("lookup", ok)
 	s.ready()
-	// The entry must not depend on the announcement, which can be lost.
-	leaving.drain.begin(leaving.now())
+	leaving.holdDrain()
 	for i := range 50 {
 		if got := entry.send(t, "GET", fmt.Sprintf("lookup/%d", i), ""); got.outcome() != "answered" {
 			t.Fatalf("call %d: %+v", i, got)
@@ -326,7 +325,7 @@
 			t.Errorf("%v: %+v", r, got)
 		}
 	}
-	b.drain.begin(b.now())
+	b.holdDrain()
 	if got := b.send(t, "POST", "transfer/x", "x", headerToken, token); got.outcome() != "unknown" {
 		t.Errorf("draining entry: %+v", got)
 	}
--- a/internal/daemon/refusal_test.go
+++ b/internal/daemon/refusal_test.go
@@ -14,7 +14,7 @@
 			entry := s.add("lookup", http.NotFoundHandler())
 			leaving := s.add("transfer", http.NotFoundHandler())
 			s.ready()
-			leaving.drain.begin(leaving.now()) // without the announcement
+			leaving.holdDrain()
 			if got := entry.send(t, method, "transfer/x", ""); got.outcome() != "not-run" || got.reason() != "leaving" {
 				t.Errorf("%s %s, want not-run leaving", got.outcome(), got.reason())
 			}
--- a/internal/daemon/setup_test.go
+++ b/internal/daemon/setup_test.go
@@ -148,6 +148,12 @@
 	return n
 }
 
+// holdDrain begins a drain without announcing it, as if all announcements were lost, and keeps the daemon from exiting.
+func (n *node) holdDrain() {
+	n.drain.enter()
+	n.drain.begin(n.now())
+}
+
 // ready waits until each daemon sees all others serve.
 func (s *site) ready() {
 	s.t.Helper()
