--- a/internal/daemon/capacity_test.go
+++ b/internal/daemon/capacity_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/core/config"
 	"guavapoint.example/guavapoint/internal/core/membership"
 	"guavapoint.example/guavapoint/internal/core/retry"
 	"guavapoint.example/guavapoint/internal/core/routing"
@@ -47,9 +48,18 @@
 				table.apply(records[next:next+1], since)
 				next = (next + 1) % len(records)
 			}
-			b.ReportMetric(float64(heap()-before)/float64(members), "bytes/member")
+			b.ReportMetric(float64(heap()-before)/float64(members), "routing-B/member")
+			before = heap()
+			node := membership.New(membership.Config{}, records[0], nil, rand.New(rand.NewPCG(1, 1)))
+			for z := range 11 {
+				zone := fmt.Sprintf("zone-%d", z)
+				node.Step(time.Now(), membership.Message{Kind: membership.KindSummary, Zone: zone, Records: inZone(records, zone)})
+				node.Ready()
+			}
+			b.ReportMetric(float64(heap()-before)/float64(members), "node-B/member")
 			runtime.KeepAlive(records)
 			runtime.KeepAlive(table)
+			runtime.KeepAlive(node)
 		})
 	}
 }
@@ -61,6 +71,17 @@
 	return m.HeapAlloc
 }
 
+func inZone(records []membership.Record, zone string) []membership.Record {
+	var in []membership.Record
+	for _, r := range records {
+		if r.Zone == zone {
+			r.Seq = 1
+			in = append(in, r)
+		}
+	}
+	return in
+}
+
 // BenchmarkCapacityIdle measures what a daemon spends without calls, in a zone of the given size: processor time,
 // allocated memory and goroutines.
 func BenchmarkCapacityIdle(b *testing.B) {
@@ -95,3 +116,29 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkCapacityConfigSpread measures the time from a configuration's arrival at one daemon of a zone until all
+// have it in effect.
+func BenchmarkCapacityConfigSpread(b *testing.B) {
+	for _, daemons := range []int{5, 10, 20} {
+		b.Run(fmt.Sprintf("daemons-%d", daemons), func(b *testing.B) {
+			s := newSite(b)
+			for range daemons {
+				s.add("lookup", http.NotFoundHandler())
+			}
+			s.ready()
+			revision := uint64(1)
+			for b.Loop() {
+				revision++
+				v := config.Version{Epoch: 1, Revision: revision}
+				doc := s.document.Clone()
+				doc.ChangeID = fmt.Sprint("change-", revision)
+				if _, err := s.nodes[0].config.Offer(v, doc); err != nil {
+					b.Fatal(err)
+				}
+				s.nodes[0].configChanged(v, doc)
+				waitUntil(b, "the change is in effect everywhere", func() bool { return s.inEffect(v) })
+			}
+		})
+	}
+}
