Keep the refusing daemon of a test from exiting

Cause: TestRefusalOfAllUpstreamsKeepsItsReason began a drain with nothing in flight, so that the daemon exited within 20 ms. Change: a request in flight holds the drain open; the assertion is the same.

--- a/internal/daemon/refusal_test.go
+++ b/internal/daemon/refusal_test.go
@@ -14,6 +14,8 @@
 			entry := s.add("lookup", http.NotFoundHandler())
 			leaving := s.add("transfer", http.NotFoundHandler())
 			s.ready()
+			leaving.drain.enter() // a request in flight keeps the daemon from exiting
+			defer leaving.drain.leave()
 			leaving.drain.begin(leaving.now()) // without the announcement
 			if got := entry.send(t, method, "transfer/x", ""); got.outcome() != "not-run" || got.reason() != "leaving" {
 				t.Errorf("%s %s, want not-run leaving", got.outcome(), got.reason())
