Don't take a deeper service's refusals for own overload

Cause: examples/local/run.sh refused 16 of 714 critical calls under overload. A trace showed limits of 2 of 9 slots at holdership without any trial: its backend server answers 503 when delegation refuses its child call, and each 503 cut the limit by 10%. Ruled out: limit trials (two in the run, both ended with the former limit). Change: a 503 counts as overload only if no child call of the request failed.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -66,11 +66,13 @@
 	defer cancel()
 	if req.parent != nil {
 		req.parent.childStarted(started)
-		defer func() { req.parent.childEnded(e.now()) }()
 	}
 	req.span = e.report.telemetry.StartSpan("entry", r.Header.Get(headerTrace), req.service, req.rank.Class())
 	res := e.run(ctx, r, req)
 	res.service = req.service
+	if req.parent != nil {
+		defer func() { req.parent.childEnded(e.now(), res) }()
+	}
 	req.span.End(res.outcome, res.reason)
 	e.writeResult(w, res)
 	took := e.now().Sub(started)
--- a/internal/daemon/hops.go
+++ b/internal/daemon/hops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -24,6 +25,7 @@
 	children   int
 	childSince time.Time
 	childTime  time.Duration
+	childLost  bool // a child call brought no successful answer
 }
 
 // childStarted notes that a child call is under way.
@@ -36,14 +38,23 @@
 	h.children++
 }
 
-// childEnded notes the end of a child call.
-func (h *hop) childEnded(now time.Time) {
+// childEnded notes the end of a child call and how it ended.
+func (h *hop) childEnded(now time.Time, res *result) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.children--
 	if h.children == 0 {
 		h.childTime += now.Sub(h.childSince)
 	}
+	h.childLost = h.childLost || res.outcome != call.OutcomeAnswered || res.status >= http.StatusInternalServerError
+}
+
+// lostChild reports whether a deeper service has failed this request. A backend server that then refuses it isn't
+// overloaded itself.
+func (h *hop) lostChild() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.childLost
 }
 
 // waitedForChildren returns the time in which at least one child call was under way.
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -135,7 +135,7 @@
 		now := u.now()
 		own := now.Sub(started) - h.waitedForChildren(now)
 		u.hops.remove(h)
-		u.gate.release(ticket, admission.Sample{Own: own, Overloaded: overloaded})
+		u.gate.release(ticket, admission.Sample{Own: own, Overloaded: overloaded && !h.lostChild()})
 		done(res.outcome == call.OutcomeAnswered)
 	})
 }
