Pass the cutoff of deeper services up to the entry

Cause: in the overload phase of examples/local/run.sh a fifth of all calls were refused by delegation after lookup and holdership had worked on them. The services in between answered 503 with their own cutoff, which was zero. Ruled out: one cutoff per service: operations that don't call the deeper service would be refused with the others. Change: a request remembers the highest cutoff that its child calls met, and its answer carries it. Calls are routed per operation, so that each operation has its own hints. A token grant no longer counts as an answer of the call. Late failures remain: the hints of two upstreams differ.

--- a/internal/daemon/bound.go
+++ b/internal/daemon/bound.go
@@ -15,13 +15,13 @@
 // requestToken obtains a token for a non-idempotent request. The caller gets it with the status 428 and spends it in its
 // second call.
 func (d *dispatcher) requestToken(ctx context.Context, req *request) *result {
-	service := d.services.get(req.service)
+	service := d.services.get(req.service, req.op.Name)
 	var last *result
 	var tried []string
 	for range maxTokenAttempts {
 		target, err := service.pick(d.now(), routing.Query{Rank: req.rank, Exclude: tried})
 		if err != nil {
-			return unpicked(last, err)
+			return unpicked(req, last, err)
 		}
 		tried = append(tried, target.Address)
 		grant := d.askToken(ctx, req, service, target)
@@ -49,9 +49,10 @@
 		grant = reply.TokenGrant
 		d.seen(target.Address, reply.Config)
 	}
+	req.meetCutoff(grant.Cutoff)
 	r := routing.Result{Latency: d.now().Sub(started), Outcome: call.OutcomeNotRun, Reason: grant.Reason, Cutoff: grant.Cutoff}
 	if grant.Token != "" {
-		r.Outcome = call.OutcomeAnswered
+		r.Reason = call.ReasonTokenRequired // says nothing about the latency or the cutoff of the call itself
 	}
 	s.done(d.now(), target.Address, r)
 	return grant
@@ -66,7 +67,7 @@
 	if !d.services.announced(req.service, req.token.Upstream) {
 		return unknown(call.ReasonIncarnationGone)
 	}
-	service := d.services.get(req.service)
+	service := d.services.get(req.service, req.op.Name)
 	target := routing.Candidate{Address: req.token.Upstream, Incarnation: req.token.Incarnation}
 	handedOver := false
 	for n := 1; ; n++ {
--- a/internal/daemon/capacity_test.go
+++ b/internal/daemon/capacity_test.go
@@ -39,7 +39,7 @@
 				func(rng *rand.Rand) *routing.Picker { return routing.NewPicker(routing.Config{}, rng) },
 				func() *retry.Ratio { return retry.NewRatio(retry.RatioConfig{}) }, time.Now)
 			for i := range 10 {
-				table.get(fmt.Sprintf("service-%03d", i))
+				table.get(fmt.Sprintf("service-%03d", i), "get")
 			}
 			since := func(membership.Record) time.Time { return time.Time{} }
 			table.apply(records, since)
--- /dev/null
+++ b/internal/daemon/cutoff_test.go
@@ -0,0 +1,72 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/admission"
+	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/core/config"
+	"guavapoint.example/guavapoint/internal/core/membership"
+	"guavapoint.example/guavapoint/internal/core/retry"
+	"guavapoint.example/guavapoint/internal/core/routing"
+	"guavapoint.example/guavapoint/internal/events"
+	"guavapoint.example/guavapoint/internal/telemetry"
+	"guavapoint.example/guavapoint/internal/transport"
+	"guavapoint.example/guavapoint/internal/wire"
+)
+
+// refusingPeer refuses every call for overload and names a cutoff.
+type refusingPeer struct {
+	cutoff call.Rank
+}
+
+func (p refusingPeer) Call(context.Context, string, *wire.CallHeader, io.Reader) (*transport.Answer, error) {
+	h := wire.AnswerHeader{Outcome: call.OutcomeNotRun, Reason: call.ReasonOverload, Cutoff: p.cutoff}
+	return &transport.Answer{Header: h, Body: noBody}, nil
+}
+
+func (p refusingPeer) Request(context.Context, string, *wire.Control) (*wire.Control, error) {
+	return nil, errors.New("not used")
+}
+
+// Guards against work that is spent on requests which a deeper service refuses: the cutoff that a child call meets must
+// be part of the answer to its parent, also when the child call is refused by its own daemon.
+func TestDeeperCutoffIsPassedUp(t *testing.T) {
+	tel, err := telemetry.New(t.Context(), telemetry.Config{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := newServiceTable(1,
+		func(rng *rand.Rand) *routing.Picker { return routing.NewPicker(routing.Config{}, rng) },
+		func() *retry.Ratio { return retry.NewRatio(retry.RatioConfig{}) }, time.Now)
+	table.apply([]membership.Record{{Address: "a", Service: "deep", Seq: 1, State: membership.StateServing, Slots: 1}},
+		func(membership.Record) time.Time { return time.Time{} })
+	cutoff := call.Lowest(call.ClassHigh)
+	d := &dispatcher{
+		peers: refusingPeer{cutoff}, config: config.NewHolder(), services: table, now: time.Now,
+		report: &reporter{log: events.Discard(), telemetry: tel},
+		seen:   func(string, wire.ConfigVersion) {}, rng: rand.New(rand.NewPCG(1, 1)),
+	}
+	u := &upstream{gate: newGate(admission.Config{Slots: 1}, time.Now)}
+	for _, want := range []call.Rank{cutoff, call.Lowest(call.ClassNormal) + 1} { // refused by the peer, then by the hint
+		parent := &hop{}
+		req := &request{service: "deep", rank: call.Lowest(call.ClassNormal), deadline: time.Now().Add(eventually),
+			account: retry.NewAccount(0), parent: parent}
+		body, err := newRequestBody(strings.NewReader(""), 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res := d.call(t.Context(), req, nil, body)
+		v := &serving{}
+		v.hop.Store(parent)
+		if got := u.cutoff(v); res.outcome != call.OutcomeNotRun || got != want {
+			t.Errorf("outcome %v, cutoff %x, want %x", res.outcome, got, want)
+		}
+	}
+}
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -50,7 +50,7 @@
 
 // call dispatches an idempotent request and repeats it where that is allowed.
 func (d *dispatcher) call(ctx context.Context, req *request, fields []wire.Header, body *requestBody) *result {
-	service := d.services.get(req.service)
+	service := d.services.get(req.service, req.op.Name)
 	service.first(d.now())
 	var last *result
 	var tried []string
@@ -60,7 +60,7 @@
 			target, err = service.pick(d.now(), d.query(req, body, nil))
 		}
 		if err != nil {
-			return unpicked(last, err)
+			return unpicked(req, last, err)
 		}
 		tried = append(tried, target.Address)
 		a := d.send(ctx, req, target, fields, body, func(r routing.Result) {
@@ -75,7 +75,10 @@
 
 // unpicked is the result where no further upstream can be tried. When all have refused, the last refusal says more than
 // "no upstream", which sends operators looking for daemons that don't run.
-func unpicked(last *result, err error) *result {
+func unpicked(req *request, last *result, err error) *result {
+	if errors.Is(err, routing.ErrBelowCutoff) {
+		req.meetCutoff(req.rank + 1)
+	}
 	if last != nil && errors.Is(err, routing.ErrNoUpstream) {
 		return last
 	}
@@ -163,6 +166,7 @@
 		return a
 	}
 	d.seen(target.Address, answer.Header.Config)
+	req.meetCutoff(answer.Header.Cutoff)
 	return d.answered(req, target.Address, d.now().Sub(started), answer, granted, report)
 }
 
--- a/internal/daemon/hops.go
+++ b/internal/daemon/hops.go
@@ -25,7 +25,8 @@
 	children   int
 	childSince time.Time
 	childTime  time.Duration
-	childLost  bool // a child call brought no successful answer
+	childLost  bool      // a child call brought no successful answer
+	cutoff     call.Rank // highest cutoff that child calls have met
 }
 
 // childStarted notes that a child call is under way.
@@ -57,6 +58,20 @@
 	return h.childLost
 }
 
+// meetCutoff notes the cutoff of a service that a child call went to, or was to go to.
+func (h *hop) meetCutoff(r call.Rank) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cutoff = max(h.cutoff, r)
+}
+
+// deeperCutoff returns the highest cutoff that child calls have met.
+func (h *hop) deeperCutoff() call.Rank {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cutoff
+}
+
 // waitedForChildren returns the time in which at least one child call was under way.
 func (h *hop) waitedForChildren(now time.Time) time.Duration {
 	h.mu.Lock()
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -54,6 +54,13 @@
 	waited   time.Duration // for upstreams and in backoffs
 }
 
+// meetCutoff tells the parent request, if there is one, which cutoff a child call has met.
+func (r *request) meetCutoff(c call.Rank) {
+	if r.parent != nil {
+		r.parent.meetCutoff(c)
+	}
+}
+
 // bound reports whether the request may only run under a token.
 func (r *request) bound() bool {
 	return r.token != nil || !r.op.Idempotent
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"guavapoint.example/guavapoint/internal/core/admission"
@@ -40,6 +41,7 @@
 	deadline time.Time
 	account  *retry.Account
 	span     *telemetry.Span
+	hop      atomic.Pointer[hop] // nil until the call was admitted; a transfer can outlive the goroutine that answers
 	// runCtx is the context of the backend server's work. It ends with the deadline and the caller for an idempotent request;
 	// a non-idempotent request is not cancelled once it has been dispatched.
 	runCtx context.Context
@@ -128,6 +130,7 @@
 	}
 	h := &hop{rootID: v.header.RootID, rank: v.header.Rank, depth: v.header.Depth, deadline: v.deadline,
 		account: v.account, ctx: v.runCtx}
+	v.hop.Store(h)
 	c := u.hops.add(h)
 	started := u.now()
 	res, overloaded := u.backend.run(v, c.String(), v.span.TraceParent())
@@ -149,7 +152,7 @@
 		Status:     res.status,
 		Header:     res.header,
 		BodyLength: res.length,
-		Cutoff:     u.gate.cutoff(),
+		Cutoff:     u.cutoff(v),
 		Config:     wire.ConfigVersion{Epoch: version.Epoch, Revision: version.Revision},
 	}
 	unspent := func() int { return drainAccount(v.account) }
@@ -166,6 +169,17 @@
 	}
 }
 
+// cutoff returns the rank below which calls like this one have no chance at present: that of this upstream, or that of a
+// deeper service that the call has met. So the entry refuses what would be refused deep in the chain.
+func (u *upstream) cutoff(v *serving) call.Rank {
+	own := u.gate.cutoff()
+	h := v.hop.Load()
+	if h == nil {
+		return own
+	}
+	return max(own, h.deeperCutoff())
+}
+
 // watchedReader remembers a failure of the reader below it.
 type watchedReader struct {
 	r   io.Reader
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -12,8 +12,9 @@
 	"guavapoint.example/guavapoint/internal/core/routing"
 )
 
-// service is the calling side of one service: the choice of upstreams and the ratio of retries. It is safe for
-// concurrent use.
+// service is the calling side of one operation of a service: the choice of upstreams and the ratio of retries. Operations are
+// kept apart because their cutoffs and latencies depend on the deeper services that they call. It is safe for concurrent
+// use.
 type service struct {
 	mu     sync.Mutex
 	picker *routing.Picker
@@ -65,7 +66,7 @@
 
 	mu       sync.Mutex
 	seed     uint64
-	services map[string]*service
+	services map[operation]*service
 	members  map[string][]routing.Candidate // serving, by service
 	known    map[string]membership.Record   // latest record of each address that was ever seen
 }
@@ -77,22 +78,28 @@
 		newRatio:  newRatio,
 		now:       now,
 		seed:      seed,
-		services:  make(map[string]*service),
+		services:  make(map[operation]*service),
 		members:   make(map[string][]routing.Candidate),
 		known:     make(map[string]membership.Record),
 	}
 }
 
-// get returns the service with the given name. The configuration bounds the names, so the table stays small.
-func (t *serviceTable) get(name string) *service {
+// operation names an operation of a service.
+type operation struct {
+	service, name string
+}
+
+// get returns the calling side of an operation. The configuration bounds the names, so the table stays small.
+func (t *serviceTable) get(name, op string) *service {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.services[name]
+	key := operation{name, op}
+	s := t.services[key]
 	if s == nil {
 		t.seed++
 		s = &service{picker: t.newPicker(rand.New(rand.NewPCG(t.seed, t.seed))), ratio: t.newRatio()}
 		s.update(t.now(), t.members[name])
-		t.services[name] = s
+		t.services[key] = s
 	}
 	return s
 }
@@ -141,9 +148,9 @@
 			t.members[r.Service] = append(t.members[r.Service], candidate(r, since(r)))
 		}
 	}
-	for name := range touched {
-		if s := t.services[name]; s != nil {
-			s.update(now, t.members[name])
+	for key, s := range t.services {
+		if touched[key.service] {
+			s.update(now, t.members[key.service])
 		}
 	}
 }
