Make the test of the cutoff's bound independent of the target

"Cutoff not bounded by what was shed" was no longer detected: the target now grows with the root of the admitted number, and the test's own admissions kept the cutoff from rising at all. Change: the slots are filled in the window before, so that nothing is admitted in the one that sheds. The doc comment of NewPicker says who guards the source. Ruled out: leaving the test as it was; it passed without checking anything. Seen to fail first: without the bound "cutoff 2000000, highest refused rank 0"; expiry of the overdue alone is detected, too.

--- a/internal/core/admission/limiter_test.go
+++ b/internal/core/admission/limiter_test.go
@@ -143,11 +143,16 @@
 // requests of a window wait while one of low class is shed.
 func TestCutoffStaysWithinShedRanks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := New(Config{Slots: rapid.IntRange(1, 20).Draw(t, "slots"), QueueDelay: time.Second})
+		slots := rapid.IntRange(1, 20).Draw(t, "slots")
+		c := New(Config{Slots: slots, QueueDelay: time.Second})
 		now := time.Unix(1000, 0)
 		low := call.Rank(rapid.IntRange(0, 1<<24-1).Draw(t, "low"))
-		c.Offer(now, Ticket{ID: 1, Rank: low})
-		for id := uint64(2); c.Load().Waiting < c.queueBound(); id++ {
+		id := uint64(1)
+		for ; c.Load().InFlight < slots; id++ {
+			c.Offer(now, Ticket{ID: id, Rank: call.MaxRank})
+		}
+		now = now.Add(cutoffWindow) // the admissions belong to the window before
+		for ; c.Load().Waiting < c.queueBound(); id++ {
 			c.Offer(now, Ticket{ID: id, Rank: call.MaxRank})
 		}
 		c.Offer(now, Ticket{ID: 1000, Rank: low})
--- a/internal/core/routing/picker.go
+++ b/internal/core/routing/picker.go
@@ -81,7 +81,7 @@
 	latency   float64 // moving average over all upstreams, in seconds
 }
 
-// NewPicker returns a picker without upstreams.
+// NewPicker returns a picker without upstreams. The random source is used under the lock of the picker's owner only.
 func NewPicker(cfg Config, rng *rand.Rand) *Picker {
 	if cfg.Ramp <= 0 {
 		cfg.Ramp = DefaultRamp
