--- a/internal/core/admission/limiter_test.go
+++ b/internal/core/admission/limiter_test.go
@@ -169,11 +169,16 @@
 // requests of a window wait while one of low class is shed.
 func TestCutoffStaysWithinShedRanks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := New(Config{Slots: rapid.IntRange(1, 20).Draw(t, "slots"), QueueDelay: time.Second})
+		slots := rapid.IntRange(1, 20).Draw(t, "slots")
+		c := New(Config{Slots: slots, QueueDelay: time.Second})
 		now := time.Unix(1000, 0)
 		low := call.Rank(rapid.IntRange(0, 1<<24-1).Draw(t, "low"))
-		c.Offer(now, Ticket{ID: 1, Rank: low})
-		for id := uint64(2); c.Load().Waiting < c.queueBound(); id++ {
+		id := uint64(1)
+		for ; c.Load().InFlight < slots; id++ {
+			c.Offer(now, Ticket{ID: id, Rank: call.MaxRank})
+		}
+		now = now.Add(cutoffWindow) // the admissions belong to the window before
+		for ; c.Load().Waiting < c.queueBound(); id++ {
 			c.Offer(now, Ticket{ID: id, Rank: call.MaxRank})
 		}
 		c.Offer(now, Ticket{ID: 1000, Rank: low})
@@ -197,8 +202,8 @@
 	}
 }
 
-// BenchmarkOfferOverloaded measures a decision with full slots and a full queue.
-func BenchmarkOfferOverloaded(b *testing.B) {
+// BenchmarkOfferFullQueue measures a decision with full slots and a full queue.
+func BenchmarkOfferFullQueue(b *testing.B) {
 	c := New(Config{Slots: 90, ReservedShare: 0.1})
 	now := time.Unix(1000, 0)
 	for id := range uint64(1000) {
