Leave time for the announcement before a drained daemon exits

Cause: a daemon with nothing in flight exited 7 ms after SIGTERM, before its neighbours could hear that it leaves (reported from examples/local/run.sh). Change: a drain lasts at least 200 ms, or its limit where that is shorter. Measured: TestDrainLeavesTimeForTheAnnouncement; the package passes with -race.

--- a/internal/daemon/drainstate.go
+++ b/internal/daemon/drainstate.go
@@ -7,15 +7,22 @@
 	"guavapoint.example/guavapoint/internal/core/drain"
 )
 
+// leaveNotice is the shortest time between the begin of a drain and the exit. It lets the announcement reach the neighbours,
+// and lets peers that have not heard it get the answer "leaving" instead of a connection that ends. Messages between
+// regions take 30 ms.
+const leaveNotice = 200 * time.Millisecond
+
 // drainState is a drain.Machine that is safe for concurrent use.
 type drainState struct {
 	mu      sync.Mutex
 	machine *drain.Machine
+	notice  time.Duration
 	begun   bool
+	since   time.Time
 }
 
 func newDrainState(limit time.Duration) *drainState {
-	return &drainState{machine: drain.New(limit)}
+	return &drainState{machine: drain.New(limit), notice: min(leaveNotice, limit)}
 }
 
 // enter admits new work. It returns false once the drain has begun.
@@ -38,6 +45,7 @@
 	defer d.mu.Unlock()
 	if !d.begun {
 		d.begun = true
+		d.since = now
 		d.machine.Begin(now)
 	}
 }
@@ -53,7 +61,7 @@
 func (d *drainState) done(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.begun && d.machine.Done(now)
+	return d.begun && now.Sub(d.since) >= d.notice && d.machine.Done(now)
 }
 
 // inFlight returns the number of requests in flight.
