--- a/internal/core/call/outcome.go
+++ b/internal/core/call/outcome.go
@@ -34,7 +34,7 @@
 // Reasons that accompany OutcomeNotRun.
 const (
 	ReasonNone           Reason = ""
-	ReasonOverload       Reason = "overload"         // refused by admission, or below the cut-off rank
+	ReasonOverload       Reason = "overload"         // refused by admission, or below the cutoff rank
 	ReasonLeaving        Reason = "leaving"          // the upstream is draining
 	ReasonDeadline       Reason = "deadline"         // too little time left to start, or the deadline passed
 	ReasonNoUpstream     Reason = "no-upstream"      // no upstream of the service is known or reachable
--- a/internal/daemon/bound.go
+++ b/internal/daemon/bound.go
@@ -68,6 +68,7 @@
 		return unknown(call.ReasonIncarnationGone)
 	}
 	service := d.services.get(req.service, req.op.Name)
+	service.first(d.now())
 	target := routing.Candidate{Address: req.token.Upstream, Incarnation: req.token.Incarnation}
 	handedOver := false
 	for n := 1; ; n++ {
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -88,7 +88,7 @@
 	g.apply(g.ctrl.Cancel(g.now(), id))
 }
 
-// cutoff returns the current cut-off rank.
+// cutoff returns the current cutoff rank.
 func (g *gate) cutoff() call.Rank {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -69,7 +69,7 @@
 	Header  []Header     `cbor:"4,keyasint,omitempty"`
 	// BodyLength is the declared length of the body in bytes, or -1 when it is unknown.
 	BodyLength int64 `cbor:"5,keyasint"`
-	// Cutoff is the upstream's current cut-off rank; calls of a lower rank are being refused.
+	// Cutoff is the upstream's current cutoff rank; calls of a lower rank are being refused.
 	Cutoff call.Rank `cbor:"6,keyasint,omitempty"`
 	// Unspent is the part of CallHeader.Retries that comes back. An answer with a body returns it in the Trailer.
 	Unspent int           `cbor:"7,keyasint,omitempty"`
