Keep a smaller limit only after two faster windows

A trace of the trials showed "own 51580 after 64417, running 15.2 after 23.5, kept": one window was faster by chance, and the limit stayed at 16 of 30 slots until the slowdown. Ruled out: a stricter threshold, which would also reject real improvements. Change: a trial goes on for a second window before the smaller limit stays.

--- a/internal/core/admission/limiter.go
+++ b/internal/core/admission/limiter.go
@@ -64,6 +64,7 @@
 
 type trial struct {
 	active       bool
+	improved     bool    // a window of the trial has shown shorter own times
 	own, running float64 // means of the window before
 	formerLimit  float64
 }
@@ -164,12 +165,18 @@
 	l.clamp()
 }
 
-// endTrial keeps the smaller limit if the own time has come at least half of the way from no change to a fall in
-// proportion to the concurrency.
+// endTrial keeps the smaller limit if, in two windows in succession, the own time has come at least half of the way from
+// no change to a fall in proportion to the concurrency. The means of two windows differ by about 14% by chance, so that one
+// window alone would keep a smaller limit without reason in one trial of ten.
 func (l *limiter) endTrial(own, running float64) {
 	t := l.trial
+	improved := own/t.own <= (1+running/t.running)/2
+	if improved && !t.improved {
+		l.trial.improved = true
+		return
+	}
 	l.trial = trial{}
-	if own/t.own <= (1+running/t.running)/2 {
+	if improved {
 		return
 	}
 	l.limit = t.formerLimit
--- a/internal/core/admission/limiter_test.go
+++ b/internal/core/admission/limiter_test.go
@@ -135,6 +135,30 @@
 	}
 }
 
+// Guards against a limit that is reduced because one window was faster by chance. Own times vary exponentially and
+// don't depend on concurrency, so that every reduction is wrong; two windows of a trial should be misled in about one of
+// a hundred trials, and at most one in twenty seeds may see it.
+func TestChanceSeldomReducesTheLimit(t *testing.T) {
+	const seeds, allowed = 60, 3
+	var reduced []uint64
+	for seed := range uint64(seeds) {
+		b := newBackend(seed, nil)
+		b.own = func(int) time.Duration {
+			return time.Millisecond + time.Duration(b.rng.ExpFloat64()*float64(50*time.Millisecond))
+		}
+		for range 50 {
+			b.run(100*time.Millisecond, 0.75) // 94% of the slots on average, often all of them
+			if b.c.Load().Limit < testSlots && !b.c.limiter.trial.active {
+				reduced = append(reduced, seed)
+				break
+			}
+		}
+	}
+	if len(reduced) > allowed {
+		t.Errorf("limit reduced with %d of %d seeds: %v", len(reduced), seeds, reduced)
+	}
+}
+
 // Guards against a baseline learned from an overloaded backend server: the daemon starts during an overload.
 func TestLimitFallsWhenStartedOverloaded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
