Make no limit trial below a mean concurrency of 3

Cause: examples/local/run.sh refused 111 of 714 critical calls under overload. Delegation has two slots there; a trial left one of them for two windows, in which the critical calls alone exceeded what it takes. Change: leastRunning 2 -> 3, so that a trial leaves at least two slots. TestLimitHoldsWithTwoSlots fails with the former value.

--- a/internal/core/admission/limiter.go
+++ b/internal/core/admission/limiter.go
@@ -18,9 +18,9 @@
 	tolerance = 2.0
 	// trialShare is the part of the present concurrency that a trial allows.
 	trialShare = 0.7
-	// leastRunning is the mean concurrency below which no trial is made: a request that runs with less than one other on
-	// average isn't slowed by them, and a trial would leave a single slot.
-	leastRunning = 2.0
+	// leastRunning is the mean concurrency below which no trial is made. Below 3, trialShare leaves a single slot, half of
+	// the throughput or less for the two windows of the trial, and important requests would be refused for it.
+	leastRunning = 3.0
 	// growth is the rise of the limit per window in which it was in demand.
 	growth = 0.05
 	// overloadCut is applied for a window in which the backend server refused requests for overload.
--- a/internal/core/admission/limiter_test.go
+++ b/internal/core/admission/limiter_test.go
@@ -135,6 +135,19 @@
 	}
 }
 
+// Guards against a trial that halves a backend server of two slots: important requests were refused for it (111 of 714 in
+// a run of examples/local/run.sh).
+func TestLimitHoldsWithTwoSlots(t *testing.T) {
+	b := newBackend(1, constant(10*time.Millisecond))
+	b.c = New(Config{Slots: 2})
+	for range 100 {
+		b.run(100*time.Millisecond, 0.3)
+		if limit := b.c.Load().Limit; limit < 2 {
+			t.Fatalf("limit %d of 2 slots", limit)
+		}
+	}
+}
+
 // Guards against a limit that is reduced because one window was faster by chance. Own times vary exponentially and
 // don't depend on concurrency, so that every reduction is wrong; two windows of a trial should be misled in about one of
 // a hundred trials, and at most one in twenty seeds may see it.
