--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
+	"time"
 
 	"guavapoint.example/guavapoint/internal/core/call"
 	"guavapoint.example/guavapoint/internal/core/config"
+	"guavapoint.example/guavapoint/internal/core/membership"
 )
 
 // documentOf returns a document with the given number of services of four operations each, the most that an example
@@ -60,3 +63,35 @@
 		})
 	}
 }
+
+// BenchmarkCapacitySummary measures what a relay spends on one zone summary, and its size.
+func BenchmarkCapacitySummary(b *testing.B) {
+	for _, members := range []int{50, 150, 573} {
+		b.Run(fmt.Sprintf("members-%d", members), func(b *testing.B) {
+			now := time.Unix(1_800_000_000, 0)
+			m := membership.Message{Kind: membership.KindSummary, From: "10.0.0.1:4433", Zone: "zone-1", At: now.UnixMilli()}
+			rng := rand.New(rand.NewPCG(1, 1))
+			for i := range members {
+				m.Records = append(m.Records, membership.Record{
+					Address: fmt.Sprintf("10.1.%d.%d:4433", i>>8, i&255), CallAddress: fmt.Sprintf("10.1.%d.%d:8080", i>>8, i&255),
+					Service: fmt.Sprintf("service-%03d", rng.IntN(670)), Zone: "zone-1", Region: "region-1",
+					Incarnation: call.Incarnation(rng.Uint64()), Seq: uint64(now.UnixMilli()) + rng.Uint64N(1e9),
+					State: membership.StateServing, Slots: 90,
+				})
+			}
+			size := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				data, err := membership.Encode(m)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := membership.Decode(data); err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
