Share the ticker loop and the version conversion in the daemon

Cause: a read of the whole change found four copies of the loop over a ticker and three of the conversion of the version in effect; drainState kept a flag that its machine knows already. Ruled out: one converter for the two problem types of "guavapoint check": the generic version was longer and harder to read. Change: every, wireVersion, drain.Machine.Phase instead of the flag. Behaviour is unchanged.

--- a/internal/daemon/configsync.go
+++ b/internal/daemon/configsync.go
@@ -73,6 +73,12 @@
 	}
 }
 
+// wireVersion returns the version in effect for a message.
+func wireVersion(h *config.Holder) wire.ConfigVersion {
+	v, _ := h.Current()
+	return wire.ConfigVersion{Epoch: v.Epoch, Revision: v.Revision}
+}
+
 // seen notes the configuration version that a message of a peer carried.
 func (d *Daemon) seen(address string, v wire.ConfigVersion) {
 	if address != "" {
@@ -110,18 +116,11 @@
 
 // runSync pulls configurations until the context ends.
 func (d *Daemon) runSync(ctx context.Context) {
-	ticker := time.NewTicker(syncInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			if err := d.sync.Step(ctx); err != nil && ctx.Err() == nil {
-				d.log.Log(events.ConfigPullFailed, nil, nil, nil, err.Error())
-			}
-		case <-ctx.Done():
-			return
+	every(ctx, syncInterval, func() {
+		if err := d.sync.Step(ctx); err != nil && ctx.Err() == nil {
+			d.log.Log(events.ConfigPullFailed, nil, nil, nil, err.Error())
 		}
-	}
+	})
 }
 
 // runContracts logs the warnings before contracts expire.
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -63,9 +63,8 @@
 
 // stamp fills in what every control message carries.
 func (d *Daemon) stamp(m *wire.Control) {
-	v, _ := d.config.Current()
 	m.From = d.settings.PeerAddress
-	m.Config = wire.ConfigVersion{Epoch: v.Epoch, Revision: v.Revision}
+	m.Config = wireVersion(d.config)
 }
 
 // grantToken issues a token, unless the request would be refused anyway.
@@ -136,19 +135,12 @@
 
 // runQuarantine repeats the records until the context ends.
 func (d *Daemon) runQuarantine(ctx context.Context, rng *rand.Rand) {
-	ticker := time.NewTicker(quarantineInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			peers := d.members.ofService(d.settings.Service, d.settings.PeerAddress)
-			if len(peers) > 0 {
-				d.sendQuarantine(d.suspects.records(), peers[rng.IntN(len(peers))])
-			}
-		case <-ctx.Done():
-			return
+	every(ctx, quarantineInterval, func() {
+		peers := d.members.ofService(d.settings.Service, d.settings.PeerAddress)
+		if len(peers) > 0 {
+			d.sendQuarantine(d.suspects.records(), peers[rng.IntN(len(peers))])
 		}
-	}
+	})
 }
 
 func (d *Daemon) mergeQuarantine(payload []byte) error {
@@ -167,6 +159,3 @@
 	d.stamp(m)
 	_ = d.transport.Send(ctx, address, m)
 }
-
-// tickInterval is the interval at which tables forget what has expired.
-const tickInterval = time.Second
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -173,7 +173,6 @@
 // header builds the message for one attempt.
 func (d *dispatcher) header(req *request, incarnation call.Incarnation, fields []wire.Header,
 	body *requestBody) *wire.CallHeader {
-	v, _ := d.config.Current()
 	return &wire.CallHeader{
 		RootID:      req.rootID,
 		Rank:        req.rank,
@@ -187,7 +186,7 @@
 		Header:      fields,
 		BodyLength:  body.length,
 		TraceParent: req.span.TraceParent(),
-		Config:      wire.ConfigVersion{Epoch: v.Epoch, Revision: v.Revision},
+		Config:      wireVersion(d.config),
 		From:        d.self,
 	}
 }
--- a/internal/daemon/drainstate.go
+++ b/internal/daemon/drainstate.go
@@ -17,8 +17,7 @@
 	mu      sync.Mutex
 	machine *drain.Machine
 	notice  time.Duration
-	begun   bool
-	since   time.Time
+	since   time.Time // of the begin
 }
 
 func newDrainState(limit time.Duration) *drainState {
@@ -43,8 +42,7 @@
 func (d *drainState) begin(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.begun {
-		d.begun = true
+	if d.machine.Phase() == drain.Open {
 		d.since = now
 		d.machine.Begin(now)
 	}
@@ -54,14 +52,14 @@
 func (d *drainState) draining() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.begun
+	return d.machine.Phase() != drain.Open
 }
 
 // done reports whether the daemon can exit.
 func (d *drainState) done(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.begun && now.Sub(d.since) >= d.notice && d.machine.Done(now)
+	return d.machine.Done(now) && now.Sub(d.since) >= d.notice
 }
 
 // inFlight returns the number of requests in flight.
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -60,16 +60,7 @@
 
 // run ticks until the context ends.
 func (m *members) run(ctx context.Context) {
-	ticker := time.NewTicker(memberTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			m.update(func(now time.Time) { m.node.Tick(now) })
-		case <-ctx.Done():
-			return
-		}
-	}
+	every(ctx, memberTick, func() { m.update(m.node.Tick) })
 }
 
 // step takes a message of another member.
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -145,7 +145,6 @@
 
 // answer sends the result to the caller's daemon.
 func (u *upstream) answer(s *transport.CallStream, v *serving, res *result) {
-	version, _ := u.config.Current()
 	h := wire.AnswerHeader{
 		Outcome:    res.outcome,
 		Reason:     res.reason,
@@ -153,7 +152,7 @@
 		Header:     res.header,
 		BodyLength: res.length,
 		Cutoff:     u.cutoff(v),
-		Config:     wire.ConfigVersion{Epoch: version.Epoch, Revision: version.Revision},
+		Config:     wireVersion(u.config),
 	}
 	unspent := func() int { return drainAccount(v.account) }
 	if res.outcome != call.OutcomeAnswered {
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -14,6 +14,8 @@
 )
 
 const (
+	// tickInterval is the interval at which tables forget what has expired and changes are logged.
+	tickInterval = time.Second
 	// certificateNotice is the time before the certificate's expiry from which it is announced. It leaves two weeks for a
 	// replacement.
 	certificateNotice = 14 * 24 * time.Hour
@@ -134,14 +136,21 @@
 // tick lets tables forget what has expired, and logs what has changed.
 func (d *Daemon) tick(ctx context.Context) {
 	var w watcher
-	ticker := time.NewTicker(tickInterval)
+	every(ctx, tickInterval, func() {
+		d.tokens.tick()
+		d.suspects.tick()
+		d.watch(&w, d.now())
+	})
+}
+
+// every calls f at each interval until the context ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			d.tokens.tick()
-			d.suspects.tick()
-			d.watch(&w, d.now())
+			f()
 		case <-ctx.Done():
 			return
 		}
