Speak the published protocol of the platform's store

The store's protocol is published now, so the client and the stand-in change from the etcd gateway format to it: pages, watches that answer and may be cut or told 410, transactions with 412, leases in milliseconds.

The interface and its errors move to internal/store; the client and the messages are in platform/, and the stand-in decodes with the same message types. The check that an outage leaves a write unknown is replaced by one that it took no effect, since 503 now promises that nothing was done. Tests added: dropped history, several pages.

The first run of platform's tests hung for 10 minutes: the stand-in waited before it had read the body, so it never noticed that the caller had left. It reads the body first now.

--- a/cmd/guavapoint-standin/kv.go
+++ b/cmd/guavapoint-standin/kv.go
@@ -12,8 +12,8 @@
 
 	"github.com/urfave/cli/v3"
 
-	"guavapoint.example/guavapoint/internal/platform"
 	"guavapoint.example/guavapoint/internal/standin/kvstore"
+	"guavapoint.example/guavapoint/platform"
 )
 
 // Rates of the users' platform service, in calls per second.
--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -15,7 +15,7 @@
 
 	"guavapoint.example/guavapoint/internal/control"
 	"guavapoint.example/guavapoint/internal/core/config"
-	"guavapoint.example/guavapoint/internal/platform"
+	"guavapoint.example/guavapoint/platform"
 )
 
 // writePause is the first wait between two attempts at one write; it doubles with each attempt. Five attempts wait
--- a/internal/control/configsync.go
+++ b/internal/control/configsync.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"guavapoint.example/guavapoint/internal/core/config"
-	"guavapoint.example/guavapoint/internal/platform"
+	"guavapoint.example/guavapoint/internal/store"
 	"guavapoint.example/guavapoint/internal/wire"
 )
 
@@ -161,7 +161,7 @@
 
 // FromStore offers the document that a relay read from the store. Errors are ErrStoreBehind, ErrBadDocument and those
 // of config.Holder.
-func (s *ConfigSync) FromStore(kv platform.KV) error {
+func (s *ConfigSync) FromStore(kv store.KV) error {
 	if kv.Deleted {
 		return nil
 	}
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"guavapoint.example/guavapoint/internal/core/membership"
-	"guavapoint.example/guavapoint/internal/platform"
+	"guavapoint.example/guavapoint/internal/store"
 )
 
 const (
@@ -54,7 +54,7 @@
 // Relay connects a zone to the platform and to the other zones, if it obtains one of the zone's leases. It is safe for
 // concurrent use, but Step must not run twice at once.
 type Relay struct {
-	store   platform.Store
+	store   store.Store
 	members Members
 	configs *ConfigSync
 	now     func() time.Time
@@ -62,7 +62,7 @@
 	report  func(error)
 
 	mu           sync.Mutex
-	lease        platform.LeaseID
+	lease        store.LeaseID
 	leaseEnd     time.Time // by this daemon's clock; the lease may last longer
 	nextLease    time.Time
 	lastRank     int       // at the last competition
@@ -75,7 +75,7 @@
 }
 
 // NewRelay returns a Relay. report, which may be nil, receives the errors that the relay recovers from itself.
-func NewRelay(store platform.Store, members Members, configs *ConfigSync, now func() time.Time, rng *rand.Rand,
+func NewRelay(store store.Store, members Members, configs *ConfigSync, now func() time.Time, rng *rand.Rand,
 	report func(error)) *Relay {
 	if report == nil {
 		report = func(error) {}
@@ -142,7 +142,7 @@
 // note records the success of a call, or reports its error.
 func (r *Relay) note(now time.Time, what string, err error) {
 	switch {
-	case err == nil, errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrLeaseLost):
+	case err == nil, errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrLeaseLost):
 		r.mu.Lock()
 		r.lastOK = now
 		r.mu.Unlock()
@@ -151,7 +151,7 @@
 	}
 }
 
-func (r *Relay) setLease(id platform.LeaseID, end time.Time) {
+func (r *Relay) setLease(id store.LeaseID, end time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lease, r.leaseEnd = id, end
@@ -163,7 +163,7 @@
 	switch {
 	case err == nil:
 		r.setLease(r.lease, now.Add(leaseTTL))
-	case errors.Is(err, platform.ErrLeaseLost):
+	case errors.Is(err, store.ErrLeaseLost):
 		r.setLease(0, time.Time{})
 		r.summaryRev, r.summaryHash = 0, 0
 	}
@@ -228,7 +228,7 @@
 	switch {
 	case err == nil:
 		r.summaryRev, r.summaryHash = rev, hash
-	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrUnknown):
 		r.findSummary(ctx, now)
 	}
 }
@@ -236,8 +236,8 @@
 // findSummary looks up the revision of this relay's key, after which the summary is written again.
 func (r *Relay) findSummary(ctx context.Context, now time.Time) {
 	kv, err := r.store.Get(ctx, r.summaryKey())
-	if errors.Is(err, platform.ErrNotFound) {
-		kv, err = platform.KV{}, nil
+	if errors.Is(err, store.ErrNotFound) {
+		kv, err = store.KV{}, nil
 	}
 	r.note(now, "read the zone's summary", err)
 	if err == nil {
@@ -279,7 +279,7 @@
 
 // WatchConfig reads the configuration and follows it until the context or the watch ends.
 func (r *Relay) WatchConfig(ctx context.Context) error {
-	return r.follow(ctx, ConfigKey, func(kv platform.KV) error {
+	return r.follow(ctx, ConfigKey, func(kv store.KV) error {
 		if kv.Key != ConfigKey {
 			return nil
 		}
@@ -296,13 +296,13 @@
 }
 
 // follow lists a prefix and watches it from the revision of the list. Errors of apply are reported.
-func (r *Relay) follow(ctx context.Context, prefix string, apply func(platform.KV) error) error {
+func (r *Relay) follow(ctx context.Context, prefix string, apply func(store.KV) error) error {
 	kvs, rev, err := r.store.List(ctx, prefix)
 	r.note(r.now(), "list "+prefix, err)
 	if err != nil {
 		return err
 	}
-	handle := func(kvs []platform.KV) error {
+	handle := func(kvs []store.KV) error {
 		for _, kv := range kvs {
 			if err := apply(kv); err != nil {
 				r.report(fmt.Errorf("%s: %w", kv.Key, err))
@@ -315,7 +315,7 @@
 }
 
 // applySummary merges another zone's summary, and remembers what this zone's other relays have written.
-func (r *Relay) applySummary(kv platform.KV) error {
+func (r *Relay) applySummary(kv store.KV) error {
 	self := r.members.Self()
 	own := strings.HasPrefix(kv.Key, zonesPrefix+self.Zone+"/")
 	if kv.Deleted {
--- a/internal/daemon/configsync.go
+++ b/internal/daemon/configsync.go
@@ -12,8 +12,9 @@
 	"guavapoint.example/guavapoint/internal/core/config"
 	"guavapoint.example/guavapoint/internal/core/routing"
 	"guavapoint.example/guavapoint/internal/events"
-	"guavapoint.example/guavapoint/internal/platform"
+	"guavapoint.example/guavapoint/internal/store"
 	"guavapoint.example/guavapoint/internal/wire"
+	"guavapoint.example/guavapoint/platform"
 )
 
 const (
@@ -51,7 +52,7 @@
 		d.log.Log(events.ConfigStoreOlder, nil, nil, v.Epoch, v.Revision)
 	case errors.Is(err, control.ErrBadDocument):
 		d.log.Log(events.ConfigInvalid, nil, nil, "platform", err.Error())
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, store.ErrUnknown):
 		d.log.Log(events.PlatformUnknown, nil, err.Error())
 	default:
 		d.log.Log(events.PlatformUnavailable, nil, err.Error())
--- a/internal/platform/store.go
+++ b/internal/store/store.go
@@ -1,6 +1,6 @@
-// Package platform accesses the platform's key-value service: the Store interface and a client for the JSON gateway of
-// the etcd v3 API.
-package platform
+// Package store defines the key-value store that keeps what must outlast a daemon. Package platform has the client
+// for it.
+package store
 
 import (
 	"context"
