Cut watches that come from before a restore in the stand-in

The stand-in cut only watches that were pending at the restore; one that began after it waited for a revision that the restored store had not reached. TestWatch failed by its deadline (20 s) and passes now.

--- a/internal/standin/kvstore/handler.go
+++ b/internal/standin/kvstore/handler.go
@@ -286,8 +286,11 @@
 	if fail == nil && after < s.state.compacted {
 		fail = errCompacted
 	}
-	epoch := s.epoch
+	epoch, revision := s.epoch, s.state.revision
 	s.mu.Unlock()
+	if after > revision {
+		panic(http.ErrAbortHandler) // the watch comes from before a restore and is cut
+	}
 	if fail != nil {
 		respond(w, nil, fail)
 		return
