--- a/internal/control/configsync.go
+++ b/internal/control/configsync.go
@@ -46,6 +46,7 @@
 	puller   Puller
 	now      func() time.Time
 	onChange func(config.Version, *config.Document)
+	source   Source
 
 	mu       sync.Mutex
 	sources  map[string]config.Version // peers that named a version above the one in effect
@@ -54,16 +55,44 @@
 	cached   *wire.ConfigDocument
 }
 
+// Source is where the configuration lies in the store.
+type Source struct {
+	Key string
+	// Decode reads a document and its version. A zero revision stands for that of the key.
+	Decode func(data []byte) (config.Version, *config.Document, error)
+}
+
+// OwnSource is the project's own document, which the operator's commands write.
+func OwnSource() Source {
+	return Source{Key: ConfigKey, Decode: func(data []byte) (config.Version, *config.Document, error) {
+		doc, err := config.Parse(data)
+		if err != nil {
+			return config.Version{}, nil, err
+		}
+		return config.Version{Epoch: doc.Epoch}, doc, nil
+	}}
+}
+
 // NewConfigSync returns a ConfigSync. onChange, which may be nil, is called after each change, by which the daemon
 // tells its acquaintances; it must not call ConfigSync.
 func NewConfigSync(holder *config.Holder, puller Puller, now func() time.Time,
 	onChange func(config.Version, *config.Document)) *ConfigSync {
 	return &ConfigSync{
-		holder: holder, puller: puller, now: now, onChange: onChange,
+		holder: holder, puller: puller, now: now, onChange: onChange, source: OwnSource(),
 		sources: make(map[string]config.Version), rejected: make(map[config.Version]time.Time),
 	}
 }
 
+// SetSource replaces the place in the store. It must be called before the first use.
+func (s *ConfigSync) SetSource(source Source) {
+	s.source = source
+}
+
+// Key returns the key of the configuration in the store.
+func (s *ConfigSync) Key() string {
+	return s.source.Key
+}
+
 // Version returns the version in effect for the messages that the daemon sends.
 func (s *ConfigSync) Version() wire.ConfigVersion {
 	v, _ := s.holder.Current()
@@ -94,7 +123,7 @@
 
 // Step pulls once if a peer has a higher version. It returns the error of the pull; another peer is asked next time.
 func (s *ConfigSync) Step(ctx context.Context) error {
-	from, ok := s.source()
+	from, ok := s.newerPeer()
 	if !ok {
 		return nil
 	}
@@ -108,9 +137,9 @@
 	return nil
 }
 
-// source takes the peer with the highest version off the list, so that a failing peer isn't asked until it names its
+// newerPeer takes the peer with the highest version off the list, so that a failing peer isn't asked until it names its
 // version again.
-func (s *ConfigSync) source() (string, bool) {
+func (s *ConfigSync) newerPeer() (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -165,11 +194,13 @@
 	if kv.Deleted {
 		return nil
 	}
-	doc, err := config.Parse(kv.Value)
+	v, doc, err := s.source.Decode(kv.Value)
 	if err != nil {
 		return s.reject(config.Version{Revision: uint64(kv.Revision)}, err)
 	}
-	v := config.Version{Epoch: doc.Epoch, Revision: uint64(kv.Revision)}
+	if v.Revision == 0 {
+		v.Revision = uint64(kv.Revision)
+	}
 	if err := s.put(v, doc); errors.Is(err, config.ErrStale) {
 		current, _ := s.holder.Current()
 		return fmt.Errorf("%w: %v, in effect is %v", ErrStoreBehind, v, current)
--- a/internal/control/locked.go
+++ b/internal/control/locked.go
@@ -90,6 +90,20 @@
 	l.node.SetState(now, s)
 }
 
+// SetSlots changes the slots in the daemon's own record.
+func (l *LockedNode) SetSlots(now time.Time, slots int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node.SetSlots(now, slots)
+}
+
+// AddPeers adds addresses to join through.
+func (l *LockedNode) AddPeers(addresses []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.node.AddPeers(addresses)
+}
+
 // Ready returns the output since the last call.
 func (l *LockedNode) Ready() membership.Output {
 	l.mu.Lock()
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -24,6 +24,12 @@
 	renewInterval = 3 * time.Second
 	// competeInterval spaces a candidate's looks at the leases: 11 zones with 3 candidates each make 7 reads/s.
 	competeInterval = 5 * time.Second
+	// raceInterval spaces the looks of candidates that compete at the same time, as after a common start.
+	raceInterval = 500 * time.Millisecond
+	// configWatchers is the number of members of a zone that follow the configuration in the store themselves. The others
+	// take it from their peers. More watchers than relays keep it quick when relays are lost; if all watched, the calls
+	// would grow with the fleet.
+	configWatchers = 16
 	// outageAfter is the time without a successful call after which the platform counts as down.
 	outageAfter = 10 * time.Second
 	// exchangeInterval spaces direct exchanges while the platform works. They correct records that a summary can't:
@@ -48,6 +54,7 @@
 	Summary(now time.Time) membership.Message
 	Step(now time.Time, m membership.Message)
 	SyncWith(now time.Time, address string)
+	AddPeers(addresses []string)
 	RemoteMember() (string, bool)
 }
 
@@ -178,31 +185,66 @@
 	if err != nil {
 		return
 	}
-	taken := make(map[string]bool, len(kvs))
+	r.join(now, kvs)
+	taken := make(map[string]int64, len(kvs))
 	for _, kv := range kvs {
-		taken[kv.Key] = true
+		if string(kv.Value) == self.Address {
+			r.take(ctx, now, kv.Key, kv.Revision, self.Address) // left by an earlier daemon at this address
+			return
+		}
+		taken[kv.Key] = kv.Revision
 	}
 	for i := range relaysPerZone {
 		key := fmt.Sprintf("%s%d", prefix, i)
-		if !taken[key] {
-			r.take(ctx, now, key, self.Address)
+		if taken[key] == 0 {
+			r.take(ctx, now, key, 0, self.Address)
 			return
 		}
 	}
 }
 
-func (r *Relay) take(ctx context.Context, now time.Time, key, address string) {
+// join tells the membership the addresses of the zone's relays, through which a daemon that has just started finds the
+// others.
+func (r *Relay) join(now time.Time, leases []store.KV) {
+	addresses := make([]string, 0, len(leases))
+	for _, kv := range leases {
+		addresses = append(addresses, string(kv.Value))
+	}
+	r.members.AddPeers(addresses)
+	if !r.alone() {
+		return
+	}
+	for _, a := range addresses {
+		r.members.SyncWith(now, a)
+	}
+}
+
+// alone reports whether no other live member of the zone is known.
+func (r *Relay) alone() bool {
+	self := r.members.Self()
+	for _, m := range r.members.Members() {
+		if m.Zone == self.Zone && m.Address != self.Address && m.Alive() {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Relay) take(ctx context.Context, now time.Time, key string, revision int64, address string) {
 	id, err := r.store.Grant(ctx, leaseTTL)
 	r.note(now, "grant a relay lease", err)
 	if err != nil {
 		return
 	}
-	_, err = r.store.CompareAndSwap(ctx, key, 0, []byte(address), id)
+	_, err = r.store.CompareAndSwap(ctx, key, revision, []byte(address), id)
 	r.note(now, "take a relay lease", err)
 	if err == nil {
 		r.setLease(id, now.Add(leaseTTL))
 		r.nextLease = now.Add(renewInterval)
+		return
 	}
+	// Another candidate was faster. The next look finds the leases that are left, and the winner's address.
+	r.nextLease = now.Add(raceInterval/2 + r.spread(raceInterval))
 }
 
 func (r *Relay) summaryKey() string {
@@ -279,8 +321,9 @@
 
 // WatchConfig reads the configuration and follows it until the context or the watch ends.
 func (r *Relay) WatchConfig(ctx context.Context) error {
-	return r.follow(ctx, ConfigKey, func(kv store.KV) error {
-		if kv.Key != ConfigKey {
+	key := r.configs.Key()
+	return r.follow(ctx, key, func(kv store.KV) error {
+		if kv.Key != key {
 			return nil
 		}
 		return r.configs.FromStore(kv)
@@ -342,9 +385,8 @@
 func (r *Relay) Run(ctx context.Context, interval time.Duration) {
 	var watches sync.WaitGroup
 	defer watches.Wait()
-	for _, watch := range []func(context.Context) error{r.WatchConfig, r.WatchZones} {
-		watches.Go(func() { r.keepWatching(ctx, watch) })
-	}
+	watches.Go(func() { r.keepWatching(ctx, r.followsConfig, r.WatchConfig) })
+	watches.Go(func() { r.keepWatching(ctx, r.Active, r.WatchZones) })
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -357,9 +399,15 @@
 	}
 }
 
-func (r *Relay) keepWatching(ctx context.Context, watch func(context.Context) error) {
+// followsConfig reports whether this daemon follows the configuration in the store.
+func (r *Relay) followsConfig() bool {
+	return r.rank() < configWatchers
+}
+
+// keepWatching watches while the condition holds when a watch begins.
+func (r *Relay) keepWatching(ctx context.Context, condition func() bool, watch func(context.Context) error) {
 	for ctx.Err() == nil {
-		if r.Active() {
+		if condition() {
 			if err := watch(ctx); ctx.Err() == nil {
 				r.report(fmt.Errorf("watch: %w", err))
 			}
--- /dev/null
+++ b/internal/core/announce/tracker.go
@@ -0,0 +1,152 @@
+package announce
+
+import (
+	"errors"
+	"time"
+)
+
+// State is what is known of the backend server.
+type State uint8
+
+// The states of a backend server.
+const (
+	// Unknown means that nothing was announced, or that the announced one has crashed.
+	Unknown State = iota
+	// Unproved means that one heartbeat says ready, which may be older than an announcement to leave.
+	Unproved
+	// Ready means that the backend server takes work.
+	Ready
+	// Leaving means that the backend server takes no new work.
+	Leaving
+)
+
+var stateNames = [...]string{"unknown", "unproved", "ready", "leaving"}
+
+// String returns the name used in logs.
+func (s State) String() string {
+	return stateNames[min(int(s), len(stateNames)-1)]
+}
+
+// Heartbeat is what a backend server says of itself.
+type Heartbeat struct {
+	ID      string
+	Service string
+	// Born is the time of the start in Unix milliseconds, 0 where it isn't said. A later start replaces an earlier one.
+	Born int64
+	// Seq increases with each heartbeat of one start.
+	Seq   uint64
+	Slots int
+	// Leaving is set before a planned stop.
+	Leaving bool
+	// Cold is how much longer the backend server is slow after its start.
+	Cold time.Duration
+}
+
+// Errors of Tracker.Heartbeat.
+var (
+	// ErrOtherService reports a heartbeat of a backend server that doesn't belong beside this daemon.
+	ErrOtherService = errors.New("heartbeat names another service")
+	// ErrOld reports a heartbeat that is older than what is known. It is acknowledged and has no effect.
+	ErrOld = errors.New("heartbeat is older than the last one")
+)
+
+// Instance is one start of a backend server.
+type Instance struct {
+	ID        string
+	Born      int64
+	Slots     int
+	State     State
+	ColdUntil time.Time
+}
+
+// Tracker holds the backend server beside a daemon. It is not safe for concurrent use.
+type Tracker struct {
+	service string
+	current Instance
+	seq     uint64
+	// crashedSeq is the last heartbeat before a crash; only newer ones show that the backend server is back.
+	crashedSeq uint64
+	crashed    bool
+	proved     bool // the tracker has once known a backend server for sure, so nothing that it missed can matter
+}
+
+// NewTracker returns a tracker for the backend servers of a service.
+func NewTracker(service string) *Tracker {
+	return &Tracker{service: service}
+}
+
+// Current returns the backend server as it is known now.
+func (t *Tracker) Current() Instance {
+	return t.current
+}
+
+// Heartbeat takes a heartbeat. Errors are ErrOtherService and ErrOld.
+func (t *Tracker) Heartbeat(now time.Time, h Heartbeat) error {
+	if h.Service != t.service {
+		return ErrOtherService
+	}
+	if h.Born < t.current.Born || t.sameStart(h) && h.Seq <= t.seq {
+		return ErrOld
+	}
+	if !t.sameStart(h) {
+		t.replace(h)
+	}
+	second := t.seq > 0
+	t.seq = h.Seq
+	t.current.Slots = h.Slots
+	t.current.ColdUntil = now.Add(h.Cold)
+	switch {
+	case t.current.State == Leaving:
+	case h.Leaving:
+		t.current.State = Leaving
+	case t.crashed && h.Seq <= t.crashedSeq:
+	case t.proved || second:
+		t.open()
+	default:
+		t.current.State = Unproved
+	}
+	return nil
+}
+
+// sameStart reports whether a heartbeat comes from the start that is known.
+func (t *Tracker) sameStart(h Heartbeat) bool {
+	return h.ID == t.current.ID && h.Born == t.current.Born
+}
+
+func (t *Tracker) replace(h Heartbeat) {
+	t.current = Instance{ID: h.ID, Born: h.Born}
+	t.seq, t.crashedSeq, t.crashed = 0, 0, false
+}
+
+func (t *Tracker) open() {
+	t.current.State = Ready
+	t.crashed = false
+	t.proved = true
+}
+
+// Proved takes a health check that an instance has passed.
+func (t *Tracker) Proved(id string) {
+	if t.current.State == Unproved && t.current.ID == id {
+		t.open()
+	}
+}
+
+// Leave takes the notice that an instance leaves. A notice for another instance has no effect. It reports whether the
+// backend server is leaving now.
+func (t *Tracker) Leave(id string) bool {
+	if t.current.ID == "" {
+		t.current.ID = id
+	}
+	if t.current.ID == id {
+		t.current.State = Leaving
+	}
+	return t.current.ID == id
+}
+
+// Crashed notes that the backend server accepts no connections. A newer heartbeat ends that.
+func (t *Tracker) Crashed() {
+	if t.current.State == Ready || t.current.State == Unproved {
+		t.current.State = Unknown
+		t.crashed, t.crashedSeq = true, t.seq
+	}
+}
--- /dev/null
+++ b/internal/core/announce/tracker_test.go
@@ -0,0 +1,85 @@
+package announce
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func beat(born int64, seq uint64, leaving bool) Heartbeat {
+	return Heartbeat{ID: "i-1", Service: "lookup", Born: born, Seq: seq, Slots: 10, Leaving: leaving}
+}
+
+// Guards against work for a backend server that has announced to leave, whatever heartbeats come late or again.
+func TestLeavingIsFinal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tr := NewTracker("lookup")
+		left := make(map[int64]bool)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			born := rapid.Int64Range(1, 3).Draw(t, "born")
+			seq := rapid.Uint64Range(1, 20).Draw(t, "seq")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				if tr.Heartbeat(start, beat(born, seq, true)) == nil {
+					left[born] = true
+				}
+			case 1:
+				if tr.Leave("i-1") {
+					left[tr.Current().Born] = true
+				}
+			case 2:
+				tr.Crashed()
+			case 3:
+				tr.Proved("i-1")
+			default:
+				_ = tr.Heartbeat(start, beat(born, seq, false))
+			}
+			if now := tr.Current(); now.State == Ready && left[now.Born] {
+				t.Fatalf("start %d takes work after it announced to leave", now.Born)
+			}
+		}
+	})
+}
+
+// Guards against a restarted daemon that opens on a heartbeat from before the backend server's notice to leave.
+func TestFirstHeartbeatNeedsProof(t *testing.T) {
+	tr := NewTracker("lookup")
+	if err := tr.Heartbeat(start, beat(1, 4, false)); err != nil || tr.Current().State != Unproved {
+		t.Fatalf("after one heartbeat: %v, %v", tr.Current().State, err)
+	}
+	tr.Proved("i-2")
+	if tr.Current().State != Unproved {
+		t.Fatal("proved by the health check of another instance")
+	}
+	tr.Proved("i-1")
+	if tr.Current().State != Ready {
+		t.Fatal("not ready after a health check that names the instance")
+	}
+	tr = NewTracker("lookup")
+	_ = tr.Heartbeat(start, beat(1, 4, false))
+	_ = tr.Heartbeat(start, beat(1, 5, false))
+	if tr.Current().State != Ready {
+		t.Fatal("not ready after a second, newer heartbeat")
+	}
+}
+
+// Guards against a late heartbeat of a crashed backend server that hides its successor or revives it.
+func TestOlderStartHasNoEffect(t *testing.T) {
+	tr := NewTracker("lookup")
+	_ = tr.Heartbeat(start, beat(1, 7, false))
+	tr.Proved("i-1")
+	tr.Crashed()
+	if err := tr.Heartbeat(start, beat(1, 7, false)); err != ErrOld || tr.Current().State != Unknown {
+		t.Fatalf("repeated heartbeat after the crash: %v, %v", err, tr.Current().State)
+	}
+	_ = tr.Heartbeat(start, beat(2, 1, false))
+	if err := tr.Heartbeat(start, beat(1, 9, false)); err != ErrOld || tr.Current().Born != 2 || tr.Current().State != Ready {
+		t.Fatalf("heartbeat of the earlier start: %v, %+v", err, tr.Current())
+	}
+	if err := tr.Heartbeat(start, Heartbeat{ID: "i-9", Service: "other", Born: 5, Seq: 1}); err != ErrOtherService {
+		t.Fatalf("heartbeat of another service: %v", err)
+	}
+}
--- a/internal/core/call/outcome.go
+++ b/internal/core/call/outcome.go
@@ -62,4 +62,5 @@
 	ReasonStillRunning    Reason = "still-running"    // the request is running and its answer isn't there yet
 	ReasonBackendCrashed  Reason = "backend-crashed"  // the backend server died while it ran the request
 	ReasonTruncated       Reason = "answer-truncated" // the answer broke off before its end
+	ReasonAnswerMismatch  Reason = "answer-mismatch"  // the backend server's answer belongs to another request, or isn't genuine
 )
--- a/internal/core/config/document.go
+++ b/internal/core/config/document.go
@@ -8,9 +8,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/core/route"
 )
 
 const (
@@ -46,8 +48,11 @@
 	Presets  map[string]Preset  `json:"presets"`
 	Services map[string]Service `json:"services"`
 	Batches  []Batch            `json:"batches"`
+	// Routes lead requests that name a host and a path to services. They are optional.
+	Routes []route.Route `json:"-"`
 
-	routes    map[string][]route
+	table     *route.Table
+	patterns  map[string][]pattern
 	contracts map[string]Contract
 }
 
@@ -134,7 +139,11 @@
 
 // Encode returns the document as JSON. It returns ErrTooLarge above MaxSize and doesn't validate; Parse does.
 func (d *Document) Encode() ([]byte, error) {
-	b, err := json.Marshal(d)
+	encoded := struct {
+		*Document
+		Routes routeList `json:"routes,omitempty"`
+	}{d, d.Routes}
+	b, err := json.Marshal(encoded)
 	if err != nil {
 		return nil, fmt.Errorf("encode configuration document: %w", err)
 	}
@@ -147,7 +156,8 @@
 // Clone returns a deep copy without the data derived by Parse, for editing.
 func (d *Document) Clone() *Document {
 	c := *d
-	c.routes, c.contracts = nil, nil
+	c.table, c.patterns, c.contracts = nil, nil, nil
+	c.Routes = slices.Clone(d.Routes)
 	c.Presets = make(map[string]Preset, len(d.Presets))
 	for name, p := range d.Presets {
 		c.Presets[name] = p
@@ -171,9 +181,10 @@
 
 // derive builds the lookup tables of a valid document.
 func (d *Document) derive() {
-	d.routes = make(map[string][]route, len(d.Services))
+	d.table = route.NewTable(d.Routes)
+	d.patterns = make(map[string][]pattern, len(d.Services))
 	for name, s := range d.Services {
-		d.routes[name] = compileRoutes(s.Operations)
+		d.patterns[name] = compilePatterns(s.Operations)
 	}
 	d.contracts = make(map[string]Contract)
 	for _, b := range d.Batches {
@@ -182,3 +193,43 @@
 		}
 	}
 }
+
+// Match returns the route of a request, or nil.
+func (d *Document) Match(host, path string) *route.Route {
+	return d.table.Match(host, path)
+}
+
+// Complete builds the lookup tables of a document that was not parsed.
+func (d *Document) Complete() {
+	d.derive()
+}
+
+// Default returns a document with default presets and no services.
+func Default(changedBy, changeID string) *Document {
+	preset := Preset{
+		RetryBudget:    defaultRetryBudget,
+		RetryRatio:     maxRetryRatio,
+		DefaultTimeout: defaultTimeout,
+		SlotShare:      1,
+		QueueDelay:     defaultQueueDelay,
+		// The link's share of one daemon: 30 Mbit/s among the 8 daemons of a region.
+		LinkBytesPerSecond: defaultLinkBytes,
+		LinkUploadShare:    maxUploadShare,
+	}
+	presets := make(map[string]Preset)
+	for _, name := range PresetNames() {
+		presets[name] = preset
+	}
+	return &Document{Format: Format, ChangeID: changeID, ChangedBy: changedBy, Active: PresetOrdinary, Presets: presets,
+		Services: make(map[string]Service), Batches: []Batch{}}
+}
+
+// Values of the default presets.
+const (
+	defaultRetryBudget = 3
+	defaultTimeout     = 10 * time.Second
+	// defaultQueueDelay is about an eighth of a target latency of 1.5 s, up to which waiting costs the caller little.
+	defaultQueueDelay = 150 * time.Millisecond
+	// defaultLinkBytes is in bytes per second.
+	defaultLinkBytes = 470_000
+)
--- a/internal/core/config/parse.go
+++ b/internal/core/config/parse.go
@@ -55,16 +55,18 @@
 }
 
 func (r *reader) document(v any, d *Document) {
-	r.fields("", v,
-		field{"format", r.intInto(&d.Format, Format, Format)},
-		field{"epoch", r.uintInto(&d.Epoch)},
-		field{"change_id", r.nameInto(&d.ChangeID)},
-		field{"changed_by", r.textInto(&d.ChangedBy)},
-		field{"active_preset", r.oneOfInto(&d.Active, PresetNames())},
-		field{"presets", func(path string, v any) { r.presets(path, v, d) }},
-		field{"services", func(path string, v any) { r.services(path, v, d) }},
-		field{"batches", func(path string, v any) { r.batches(path, v, d) }},
-	)
+	required := []field{
+		{"format", r.intInto(&d.Format, Format, Format)},
+		{"epoch", r.uintInto(&d.Epoch)},
+		{"change_id", r.nameInto(&d.ChangeID)},
+		{"changed_by", r.textInto(&d.ChangedBy)},
+		{"active_preset", r.oneOfInto(&d.Active, PresetNames())},
+		{"presets", func(path string, v any) { r.presets(path, v, d) }},
+		{"services", func(path string, v any) { r.services(path, v, d) }},
+		{"batches", func(path string, v any) { r.batches(path, v, d) }},
+	}
+	optional := []field{{"routes", func(path string, v any) { r.readRoutes(path, v, d) }}}
+	r.object("", v, required, optional)
 }
 
 func (r *reader) presets(path string, v any, d *Document) {
--- a/internal/core/config/path.go
+++ b/internal/core/config/path.go
@@ -28,8 +28,8 @@
 	text string
 }
 
-// route is an operation with its compiled path pattern.
-type route struct {
+// pattern is an operation with its compiled path pattern.
+type pattern struct {
 	op       Operation
 	segments []segment
 }
@@ -103,19 +103,19 @@
 	return b.String()
 }
 
-// compileRoutes orders operations by precedence: in the first segment where two patterns differ in kind, text comes
+// compilePatterns orders operations by precedence: in the first segment where two patterns differ in kind, text comes
 // before {name} and {name} before {name...}.
-func compileRoutes(ops []Operation) []route {
-	routes := make([]route, 0, len(ops))
+func compilePatterns(ops []Operation) []pattern {
+	patterns := make([]pattern, 0, len(ops))
 	for _, op := range ops {
 		segments, err := parsePattern(op.Path)
 		if err != nil {
 			continue
 		}
-		routes = append(routes, route{op: op, segments: segments})
+		patterns = append(patterns, pattern{op: op, segments: segments})
 	}
-	sort.SliceStable(routes, func(i, j int) bool { return precedes(routes[i].segments, routes[j].segments) })
-	return routes
+	sort.SliceStable(patterns, func(i, j int) bool { return precedes(patterns[i].segments, patterns[j].segments) })
+	return patterns
 }
 
 func precedes(a, b []segment) bool {
@@ -136,7 +136,7 @@
 //
 // The error is ErrUnknownService or ErrUnknownOperation.
 func (d *Document) Operation(service, method, path string) (Operation, error) {
-	routes, err := d.serviceRoutes(service)
+	patterns, err := d.servicePatterns(service)
 	if err != nil {
 		return Operation{}, err
 	}
@@ -145,32 +145,32 @@
 	if !ok {
 		return Operation{}, ErrUnknownOperation
 	}
-	op, ok := match(routes, method, parts)
+	op, ok := match(patterns, method, parts)
 	if !ok {
 		return Operation{}, ErrUnknownOperation
 	}
 	decoded := strings.Split(strings.Join(parts, "/"), "/")
 	if len(decoded) != len(parts) {
-		if other, also := match(routes, method, decoded); also && other.Name != op.Name {
+		if other, also := match(patterns, method, decoded); also && other.Name != op.Name {
 			return Operation{}, ErrUnknownOperation
 		}
 	}
 	return op, nil
 }
 
-func (d *Document) serviceRoutes(service string) ([]route, error) {
-	if routes, ok := d.routes[service]; ok {
-		return routes, nil
+func (d *Document) servicePatterns(service string) ([]pattern, error) {
+	if patterns, ok := d.patterns[service]; ok {
+		return patterns, nil
 	}
 	s, ok := d.Services[service]
 	if !ok {
 		return nil, ErrUnknownService
 	}
-	return compileRoutes(s.Operations), nil
+	return compilePatterns(s.Operations), nil
 }
 
-func match(routes []route, method string, parts []string) (Operation, bool) {
-	for _, r := range routes {
+func match(patterns []pattern, method string, parts []string) (Operation, bool) {
+	for _, r := range patterns {
 		if r.op.Method == method && matchSegments(r.segments, parts) {
 			return r.op, true
 		}
--- /dev/null
+++ b/internal/core/config/routes.go
@@ -0,0 +1,119 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"guavapoint.example/guavapoint/internal/core/route"
+)
+
+// Limits of a route's values.
+const (
+	// maxHostLength is the limit of a DNS name in bytes.
+	maxHostLength = 253
+	// maxPrefixLength bounds a path prefix in bytes.
+	maxPrefixLength = 1024
+	// maxWeight bounds the weight of one target.
+	maxWeight = 1_000_000
+	// maxAttempts bounds the upstreams that one request is sent to.
+	maxAttempts = 16
+	// maxPriority bounds the rank of a route.
+	maxPriority = 1_000
+)
+
+type routeJSON struct {
+	Name          string         `json:"name"`
+	Host          string         `json:"host"`
+	Prefix        string         `json:"prefix"`
+	Targets       []route.Target `json:"targets"`
+	Kind          string         `json:"kind"`
+	Timeout       string         `json:"timeout"`
+	TargetLatency string         `json:"target_latency"`
+	MaxAttempts   int            `json:"max_attempts"`
+	Priority      int            `json:"priority"`
+}
+
+// routeList encodes routes with durations as strings with units.
+type routeList []route.Route
+
+// MarshalJSON implements json.Marshaler.
+func (l routeList) MarshalJSON() ([]byte, error) {
+	rows := make([]routeJSON, 0, len(l))
+	for _, r := range l {
+		rows = append(rows, routeJSON{Name: r.Name, Host: r.Host, Prefix: r.Prefix, Targets: r.Targets, Kind: r.Kind.String(),
+			Timeout: r.Timeout.String(), TargetLatency: r.TargetLatency.String(), MaxAttempts: r.MaxAttempts, Priority: r.Priority})
+	}
+	return json.Marshal(rows)
+}
+
+// readRoutes reads the optional list of routes.
+func (r *reader) readRoutes(path string, v any, d *Document) {
+	names := make(map[string]bool)
+	r.list(path, v, func(path string, v any) {
+		one := r.route(path, v)
+		if names[one.Name] {
+			r.add(path+".name", describe(one.Name)+" a second time", "a name used once")
+		}
+		names[one.Name] = true
+		d.Routes = append(d.Routes, one)
+	})
+}
+
+func (r *reader) route(path string, v any) route.Route {
+	var one route.Route
+	r.fields(path, v,
+		field{"name", r.nameInto(&one.Name)},
+		field{"host", r.lineInto(&one.Host, maxHostLength)},
+		field{"prefix", func(path string, v any) {
+			r.lineInto(&one.Prefix, maxPrefixLength)(path, v)
+			if one.Prefix != "" && (!strings.HasPrefix(one.Prefix, "/") || !strings.HasSuffix(one.Prefix, "/")) {
+				r.add(path, describe(v), "a path that begins and ends with a slash")
+			}
+		}},
+		field{"targets", func(path string, v any) { one.Targets = r.targets(path, v) }},
+		field{"kind", func(path string, v any) {
+			s, _ := v.(string)
+			kind, ok := route.ParseKind(s)
+			if !ok {
+				r.add(path, describe(v), "idempotent, non-idempotent, upload")
+			}
+			one.Kind = kind
+		}},
+		field{"timeout", r.durationInto(&one.Timeout, 0, maxTimeout)},
+		field{"target_latency", r.durationInto(&one.TargetLatency, 0, maxTimeout)},
+		field{"max_attempts", r.intInto(&one.MaxAttempts, 1, maxAttempts)},
+		field{"priority", r.intInto(&one.Priority, 0, maxPriority)},
+	)
+	return one
+}
+
+func (r *reader) targets(path string, v any) []route.Target {
+	var targets []route.Target
+	total := 0
+	r.list(path, v, func(path string, v any) {
+		var t route.Target
+		r.fields(path, v,
+			field{"service", r.nameInto(&t.Service)},
+			field{"weight", r.intInto(&t.Weight, 0, maxWeight)},
+		)
+		total += t.Weight
+		targets = append(targets, t)
+	})
+	if total == 0 {
+		r.add(path, describe(v), "at least one service with a positive weight")
+	}
+	return targets
+}
+
+// lineInto reads a string of 1 to limit bytes without spaces and control characters.
+func (r *reader) lineInto(to *string, limit int) func(string, any) {
+	return func(path string, v any) {
+		s, ok := v.(string)
+		if !ok || s == "" || len(s) > limit || strings.ContainsFunc(s, func(c rune) bool { return c <= ' ' || c == 0x7f }) {
+			r.add(path, describe(v), fmt.Sprintf("1 to %d bytes without spaces", limit))
+			return
+		}
+		*to = s
+	}
+}
--- a/internal/core/config/tree.go
+++ b/internal/core/config/tree.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 )
 
@@ -167,22 +168,28 @@
 
 // fields reads an object whose fields are all required, and reports missing and unknown ones.
 func (r *reader) fields(path string, v any, fs ...field) {
+	r.object(path, v, fs, nil)
+}
+
+// object reads an object with required and optional fields.
+func (r *reader) object(path string, v any, required, optional []field) {
 	o, ok := v.(object)
 	if !ok {
 		r.add(orDocument(path), describe(v), "an object")
 		return
 	}
-	known := make(map[string]bool, len(fs))
-	names := make([]string, 0, len(fs))
-	for _, f := range fs {
+	known := make(map[string]bool, len(required)+len(optional))
+	names := make([]string, 0, len(required)+len(optional))
+	for i, f := range slices.Concat(required, optional) {
 		known[f.name] = true
 		names = append(names, f.name)
 		fv, present := o.values[f.name]
-		if !present {
+		switch {
+		case present:
+			f.read(join(path, f.name), fv)
+		case i < len(required):
 			r.add(join(path, f.name), "nothing", "the field is required")
-			continue
 		}
-		f.read(join(path, f.name), fv)
 	}
 	for _, k := range o.keys {
 		if !known[k] {
--- a/internal/core/membership/node.go
+++ b/internal/core/membership/node.go
@@ -178,6 +178,26 @@
 	}
 }
 
+// SetSlots changes the slots in this node's own record.
+func (n *Node) SetSlots(now time.Time, slots int) {
+	n.observe(now)
+	if n.self.Slots == slots {
+		return
+	}
+	n.self.Slots = slots
+	n.self.Seq++
+	n.announce(now)
+}
+
+// AddPeers adds addresses to the bootstrap peers.
+func (n *Node) AddPeers(addresses []string) {
+	for _, p := range addresses {
+		if p != n.self.Address && !slices.Contains(n.peers, p) {
+			n.peers = append(n.peers, p)
+		}
+	}
+}
+
 // announce stores this node's own record and queues it.
 func (n *Node) announce(now time.Time) {
 	n.store(now, n.self)
--- /dev/null
+++ b/internal/daemon/announced.go
@@ -0,0 +1,134 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"guavapoint.example/guavapoint/internal/core/announce"
+	"guavapoint.example/guavapoint/internal/core/membership"
+	"guavapoint.example/guavapoint/internal/events"
+	"guavapoint.example/guavapoint/platform"
+)
+
+// proofTimeout bounds the health check that proves a heartbeat. It is shorter than the usual heartbeat interval, after
+// which the next heartbeat proves the same.
+const proofTimeout = time.Second
+
+// announced is an announce.Tracker that is safe for concurrent use.
+type announced struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	tracker *announce.Tracker
+}
+
+func newAnnounced(service string, now func() time.Time) *announced {
+	return &announced{tracker: announce.NewTracker(service), now: now}
+}
+
+func (a *announced) current() announce.Instance {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.tracker.Current()
+}
+
+// update changes the tracker and returns what was known before and after.
+func (a *announced) update(f func(*announce.Tracker) error) (before, after announce.Instance, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before = a.tracker.Current()
+	err = f(a.tracker)
+	return before, a.tracker.Current(), err
+}
+
+// announceRouter returns the handler for heartbeats and notices to leave.
+func (d *Daemon) announceRouter() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(platform.PathInstances+"{id}", d.serveHeartbeat).Methods(http.MethodPut)
+	r.HandleFunc(platform.PathInstances+"{id}", d.serveLeave).Methods(http.MethodDelete)
+	return r
+}
+
+// serveHeartbeat takes a heartbeat. A late one is acknowledged, since its sender can't do better.
+func (d *Daemon) serveHeartbeat(w http.ResponseWriter, r *http.Request) {
+	id := mux.Vars(r)["id"]
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxHeartbeat))
+	if err == nil {
+		var h announce.Heartbeat
+		if h, err = platform.DecodeHeartbeat(id, body); err == nil {
+			err = d.announce(func(t *announce.Tracker) error { return t.Heartbeat(d.now(), h) })
+		}
+	}
+	if err != nil && !errors.Is(err, announce.ErrOld) {
+		d.log.Log(events.HeartbeatRejected, id, err.Error())
+		writeProblem(w, http.StatusBadRequest, "heartbeat-rejected", err.Error())
+		return
+	}
+	writeAcknowledgement(w)
+}
+
+func (d *Daemon) serveLeave(w http.ResponseWriter, r *http.Request) {
+	id := mux.Vars(r)["id"]
+	_ = d.announce(func(t *announce.Tracker) error { t.Leave(id); return nil }) // has no error
+	writeAcknowledgement(w)
+}
+
+func writeAcknowledgement(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, "{}") // the backend server repeats a heartbeat whose acknowledgement is lost
+}
+
+// announce changes what is known of the backend server and lets the rest of the daemon follow.
+func (d *Daemon) announce(f func(*announce.Tracker) error) error {
+	before, after, err := d.announced.update(f)
+	if before == after {
+		return err
+	}
+	if before.State != after.State || before.ID != after.ID || before.Born != after.Born || before.Slots != after.Slots {
+		d.log.Log(events.BackendAnnounced, after.ID, after.Born, before.State.String(), after.State.String(), after.Slots)
+	}
+	if before.Slots != after.Slots {
+		_, doc := d.config.Current()
+		d.gate.setConfig(d.admissionConfig(doc))
+		d.members.setSlots(after.Slots)
+	}
+	if after.State == announce.Leaving && before.State != announce.Leaving {
+		d.gate.refuseWaiting()
+	}
+	if after.State == announce.Unproved && (before.State != announce.Unproved || before.ID != after.ID) {
+		d.tasks.Go(d.proveBackend)
+	}
+	d.up.Store(after.State == announce.Ready)
+	d.members.setState(d.memberState())
+	return err
+}
+
+// proveBackend asks the backend server whether it is the announced instance and takes work.
+func (d *Daemon) proveBackend() {
+	ctx, cancel := context.WithTimeout(context.Background(), proofTimeout)
+	defer cancel()
+	id, err := d.backend.health(ctx, platform.HealthPath)
+	if err != nil {
+		d.log.Log(events.HeartbeatRejected, d.announced.current().ID, "not proved: "+err.Error())
+		return
+	}
+	_ = d.announce(func(t *announce.Tracker) error { t.Proved(id); return nil }) // has no error
+}
+
+// announcedState returns the member state of an announced backend server.
+func (d *Daemon) announcedState() membership.State {
+	switch d.announced.current().State {
+	case announce.Ready:
+		return membership.StateServing
+	case announce.Leaving:
+		return membership.StateLeaving
+	default:
+		return membership.StateStarting
+	}
+}
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
 	"time"
 
 	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/events"
+	"guavapoint.example/guavapoint/internal/loopback"
+	"guavapoint.example/guavapoint/platform"
 )
 
 const (
@@ -23,53 +27,45 @@
 
 // backend runs requests on the backend server beside this daemon. It is safe for concurrent use.
 type backend struct {
-	base    *url.URL
-	client  *http.Transport
-	crashes *crashDetector
-	refused func() // called when the backend server refuses a connection
-	now     func() time.Time
+	base      *url.URL
+	pool      *loopback.Pool
+	announced *announced // nil where the backend server speaks the project's own header fields
+	crashes   *crashDetector
+	refused   func() // called when the backend server refuses a connection
+	log       *events.Logger
+	now       func() time.Time
 }
 
-func newBackend(base *url.URL, connections int, crashes *crashDetector, refused func(), now func() time.Time) *backend {
-	dialer := &net.Dialer{Timeout: backendDialTimeout}
-	return &backend{
-		base: base,
-		client: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxConnsPerHost:     connections,
-			MaxIdleConnsPerHost: connections,
-			DisableCompression:  true,
-		},
-		crashes: crashes,
-		refused: refused,
-		now:     now,
-	}
+func newBackend(base *url.URL, crashes *crashDetector, refused func(), log *events.Logger, now func() time.Time) *backend {
+	return &backend{base: base, pool: loopback.New(base.Host, now), crashes: crashes, refused: refused, log: log, now: now}
 }
 
-// onceReader hides that a body could be sent again. net/http otherwise repeats a request by itself when a reused
-// connection breaks, which would run it twice and escape the retry budget.
-type onceReader struct{ io.Reader }
-
-// Close implements io.Closer.
-func (onceReader) Close() error { return nil }
-
 // run sends a request to the backend server. overloaded reports that the backend server shed load itself.
 func (b *backend) run(v *serving, hopContext, traceParent string) (res *result, overloaded bool) {
 	ctx, cancel := context.WithTimeout(v.runCtx, boundRunLimit)
 	var dispatched atomic.Bool
+	dispatched.Store(true)
 	flight := b.crashes.enter(v.print, &dispatched)
-	req, err := b.request(ctx, v, hopContext, traceParent, &dispatched)
+	req, err := b.request(ctx, v, hopContext, traceParent)
 	if err != nil {
 		flight.leave()
 		cancel()
 		return notRun(call.ReasonBackendRefused), false
 	}
-	resp, err := b.client.RoundTrip(req)
+	resp, err := b.pool.Do(ctx, req, belongsTo(platform.RequestID(req.Header)))
 	if err != nil {
+		dispatched.Store(!errors.Is(err, loopback.ErrNotSent))
 		res := b.failed(ctx, flight, dispatched.Load())
 		cancel()
 		return res, false
 	}
+	overloaded = resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	if res := b.rejected(v, resp); res != nil {
+		resp.Body.Close()
+		flight.leave()
+		cancel()
+		return res, overloaded
+	}
 	res = &result{outcome: call.OutcomeAnswered, status: resp.StatusCode, header: forwardedHeaders(resp.Header),
 		length: resp.ContentLength, body: resp.Body}
 	res.finished = func(whole bool) {
@@ -79,27 +75,67 @@
 		flight.leave()
 		cancel()
 	}
-	return res, resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	return res, overloaded
+}
+
+// belongsTo returns the test for answers to the request with an id. A backend server that echoes no id sends no answers
+// out of turn.
+func belongsTo(id string) func(http.Header) bool {
+	return func(h http.Header) bool {
+		echoed := platform.RequestID(h)
+		return id == "" || echoed == "" || echoed == id
+	}
+}
+
+// rejected returns the result of an answer that can't be passed on, or nil.
+func (b *backend) rejected(v *serving, resp *http.Response) *result {
+	if b.announced == nil {
+		return nil
+	}
+	if platform.NotExecuted(resp.StatusCode, resp.Header) {
+		return notRun(call.ReasonBackendRefused)
+	}
+	success := resp.StatusCode >= 200 && resp.StatusCode < 300
+	cause := ""
+	switch {
+	case resp.Header.Get("Content-Encoding") != "":
+		cause = "encoded body"
+	case success && !platform.Signed(resp.Header):
+		cause = "success without a signature"
+	case platform.RequestID(resp.Header) == "" && platform.Signed(resp.Header):
+		cause = "no request id"
+	default:
+		return nil
+	}
+	b.log.Log(events.AnswerRejected, v.header.RootID, resp.StatusCode, cause)
+	return unknown(call.ReasonAnswerMismatch)
 }
 
 // request builds the HTTP request.
-func (b *backend) request(ctx context.Context, v *serving, hopContext, traceParent string, dispatched *atomic.Bool) (*http.Request, error) {
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { dispatched.Store(true) },
-	})
+func (b *backend) request(ctx context.Context, v *serving, hopContext, traceParent string) (*http.Request, error) {
 	body, _ := v.body.reader()
-	req, err := http.NewRequestWithContext(ctx, v.header.Method, b.base.String()+v.header.Path, onceReader{body})
+	req, err := http.NewRequestWithContext(ctx, v.header.Method, b.base.String()+v.header.Path, io.NopCloser(body))
 	if err != nil {
 		return nil, err
 	}
 	req.ContentLength = v.body.length
+	if v.body.length == 0 {
+		req.Body = http.NoBody
+	}
+	req.Header.Set("User-Agent", "") // net/http would add its own
 	applyHeaders(req.Header, v.header.Header)
-	req.Header.Set(headerContext, hopContext)
-	req.Header.Set(headerRequestID, v.header.RootID)
-	req.Header.Set(headerTimeout, v.deadline.Sub(b.now()).String())
 	if traceParent != "" {
 		req.Header.Set(headerTrace, traceParent)
 	}
+	if b.announced != nil {
+		req.Host = req.Header.Get(hostField)
+		req.Header.Del(hostField)
+		platform.PrepareRequest(req.Header, v.deadline.Sub(b.now()), b.announced.current().ID)
+		return req, nil
+	}
+	req.Header.Set(headerContext, hopContext)
+	req.Header.Set(headerRequestID, v.header.RootID)
+	req.Header.Set(headerTimeout, v.deadline.Sub(b.now()).String())
 	return req, nil
 }
 
@@ -130,3 +166,21 @@
 	conn.Close()
 	return true
 }
+
+// health asks the backend server whether it takes work, and returns the instance that answers.
+func (b *backend) health(ctx context.Context, path string) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, b.base.String()+path, http.NoBody)
+	if err != nil {
+		return "", fmt.Errorf("health check: %w", err)
+	}
+	resp, err := b.pool.Do(ctx, req, func(http.Header) bool { return true })
+	if err != nil {
+		return "", fmt.Errorf("health check: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return "", fmt.Errorf("health check: status %d", resp.StatusCode)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body) // only the status and the header count
+	return platform.Instance(resp.Header), nil
+}
--- a/internal/daemon/bound.go
+++ b/internal/daemon/bound.go
@@ -100,7 +100,7 @@
 func (d *dispatcher) resolve(ctx context.Context, req *request, a attempt) *result {
 	reply, err := d.peers.Request(ctx, req.token.Upstream, &wire.Control{
 		From:           d.self,
-		ResolveRequest: &wire.ResolveRequest{Token: req.tokenRaw},
+		ResolveRequest: &wire.ResolveRequest{Token: req.tokenRaw, Minted: req.minted},
 	})
 	if err != nil || reply.ResolveAnswer == nil {
 		return unknown(lostReason(a))
--- a/internal/daemon/configsync.go
+++ b/internal/daemon/configsync.go
@@ -33,6 +33,9 @@
 // buildConfig creates what brings configurations to this daemon, and the relay where the settings name a platform.
 func (d *Daemon) buildConfig(rng *rand.Rand) error {
 	d.sync = control.NewConfigSync(d.config, d, d.now, d.configChanged)
+	if d.settings.Ingress != nil {
+		d.sync.SetSource(control.Source{Key: platform.ConfigKey, Decode: platform.DecodeConfig})
+	}
 	if len(d.settings.Platform.URLs) == 0 {
 		return nil
 	}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -94,6 +94,9 @@
 	if err != nil || tok.Upstream != u.self {
 		return &wire.ResolveAnswer{Outcome: call.OutcomeUnknown, Reason: call.ReasonIncarnationGone}
 	}
+	if r.Minted {
+		_ = u.tokens.adopt(tok) // resolve reports a token that can't be taken
+	}
 	status, answer, err := u.tokens.resolve(tok)
 	if err == nil && status == outcome.Running {
 		return &wire.ResolveAnswer{Outcome: call.OutcomeUnknown, Reason: call.ReasonStillRunning}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/binary"
 	mrand "math/rand/v2"
 	"net"
@@ -39,6 +40,8 @@
 
 	calls     net.Listener // for callers and the backend server
 	admin     net.Listener
+	ingress   ingressListeners // nil listeners without an ingress
+	announced *announced       // nil where the settings tell the backend server's slots
 	config    *config.Holder
 	transport *transport.Transport
 	members   *members
@@ -75,7 +78,7 @@
 		now:         time.Now,
 		ready:       make(chan struct{}),
 		config:      config.NewHolder(),
-		drain:       newDrainState(s.DrainLimit),
+		drain:       newDrainState(s.DrainLimit, leaveNoticeOf(s)),
 		link:        routing.NewLink(routing.LinkConfig{}),
 	}
 	d.buildDecisions(base)
@@ -101,12 +104,17 @@
 	if d.admin, err = net.Listen("tcp", d.settings.AdminAddress); err != nil {
 		return eris.Wrap(err, "admin address")
 	}
+	if d.settings.Ingress != nil {
+		if d.ingress, err = openIngress(d.settings.Ingress); err != nil {
+			return err
+		}
+	}
 	return d.openTransport()
 }
 
 // closeSockets closes what open has bound, at once.
 func (d *Daemon) closeSockets() {
-	for _, l := range []net.Listener{d.calls, d.admin} {
+	for _, l := range []net.Listener{d.calls, d.admin, d.ingress.calls, d.ingress.ready, d.ingress.announce} {
 		if l != nil {
 			l.Close()
 		}
@@ -135,8 +143,12 @@
 	d.tokens = newTokens(outcome.Config{}, d.incarnation, d.now)
 	d.suspects = newSuspects(quarantine.Config{}, d.now, d.spreadQuarantine)
 	d.services = newServiceTable(newSeed(), d.newPicker, d.newRatio, d.now)
+	if d.settings.Backend.Announced {
+		d.announced = newAnnounced(d.settings.Service, d.now)
+	}
 	crashes := newCrashDetector(func() bool { return d.backend.reachable() }, d.backendCrashed)
-	d.backend = newBackend(base, d.settings.Backend.Connections, crashes, d.backendGone, d.now)
+	d.backend = newBackend(base, crashes, d.backendGone, d.log, d.now)
+	d.backend.announced = d.announced
 }
 
 func newSeed() uint64 {
@@ -161,7 +173,7 @@
 
 // admissionConfig returns the admission limits under a preset; before the first configuration arrives doc is nil.
 func (d *Daemon) admissionConfig(doc *config.Document) admission.Config {
-	cfg := admission.Config{Slots: d.settings.Backend.Slots}
+	cfg := admission.Config{Slots: d.slots()}
 	if doc == nil {
 		return cfg
 	}
@@ -173,8 +185,18 @@
 	return cfg
 }
 
+// loadTLS reads the files that the settings name, or makes a key for this start.
+func (d *Daemon) loadTLS() (*tls.Config, error) {
+	files := d.settings.TLS
+	if !files.Given() {
+		d.log.Log(events.PeersUnauthenticated)
+		return transport.SelfSignedTLS()
+	}
+	return transport.LoadTLS(files.Certificate, files.Key, files.Authority)
+}
+
 func (d *Daemon) openTransport() error {
-	tlsConfig, err := transport.LoadTLS(d.settings.TLS.Certificate, d.settings.TLS.Key, d.settings.TLS.Authority)
+	tlsConfig, err := d.loadTLS()
 	if err != nil {
 		return eris.Wrap(err, "certificates")
 	}
@@ -197,6 +219,7 @@
 		config:      d.config,
 		drain:       d.drain,
 		gate:        d.gate,
+		announced:   d.announced,
 		tokens:      d.tokens,
 		suspects:    d.suspects,
 		hops:        d.hops,
@@ -235,8 +258,16 @@
 		Incarnation: d.incarnation,
 		Seq:         uint64(d.now().UnixMilli()),
 		State:       membership.StateStarting,
-		Slots:       d.settings.Backend.Slots,
+		Slots:       d.slots(),
+	}
+}
+
+// slots returns the requests that the backend server runs at once, as announced or as the settings say.
+func (d *Daemon) slots() int {
+	if d.announced != nil {
+		return max(d.announced.current().Slots, 1)
 	}
+	return d.settings.Backend.Slots
 }
 
 func (d *Daemon) membersChanged(changes []membership.Record) {
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -67,12 +67,30 @@
 			service.done(d.now(), target.Address, r)
 		})
 		last = worse(last, a.result)
-		if !a.retry || !d.allowRetry(ctx, req, service, body, n) {
+		if !a.retry || !d.mayRepeat(ctx, req, service, body, a, n) {
 			return last
 		}
 	}
 }
 
+// maxRefusals bounds the upstreams that may refuse one request before its caller is told. Each refusal costs a round
+// trip, and where three upstreams are full the others rarely have room.
+const maxRefusals = 3
+
+// mayRepeat decides on another attempt. A routed request that an upstream's daemon has refused has not reached the
+// upstream, so trying another one is no retry.
+func (d *dispatcher) mayRepeat(ctx context.Context, req *request, s *service, body *requestBody, a attempt, n int) bool {
+	if req.routed && refusedByDaemon(a.result) {
+		return ctx.Err() == nil && n < maxRefusals && body.replayable()
+	}
+	return d.allowRetry(ctx, req, s, body, n)
+}
+
+// refusedByDaemon reports whether the request was refused before it reached an upstream.
+func refusedByDaemon(res *result) bool {
+	return res.outcome == call.OutcomeNotRun && res.reason != call.ReasonBackendRefused
+}
+
 // unpicked is the result where no further upstream can be tried. When all have refused, the last refusal says more than
 // "no upstream", which sends operators looking for daemons that don't run.
 func unpicked(req *request, last *result, err error) *result {
@@ -181,6 +199,7 @@
 		Service:     req.service,
 		Incarnation: incarnation,
 		Token:       req.tokenRaw,
+		Minted:      req.minted,
 		Method:      req.op.Method,
 		Path:        req.path,
 		Header:      fields,
@@ -247,9 +266,9 @@
 // worthRetry reports whether another upstream may answer an idempotent request.
 func worthRetry(o call.Outcome, r call.Reason) bool {
 	switch r {
-	case call.ReasonOverload, call.ReasonLeaving, call.ReasonWrongUpstream, call.ReasonBackendRefused:
+	case call.ReasonOverload, call.ReasonLeaving, call.ReasonWrongUpstream, call.ReasonBackendRefused, call.ReasonTokenRefused:
 		return o == call.OutcomeNotRun
-	case call.ReasonConnectionLost, call.ReasonBackendCrashed, call.ReasonTruncated:
+	case call.ReasonConnectionLost, call.ReasonBackendCrashed, call.ReasonTruncated, call.ReasonAnswerMismatch:
 		return o == call.OutcomeUnknown
 	default:
 		return false
--- a/internal/daemon/drainstate.go
+++ b/internal/daemon/drainstate.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"guavapoint.example/guavapoint/internal/settings"
 	"sync"
 	"time"
 
@@ -12,6 +13,18 @@
 // regions take 30 ms.
 const leaveNotice = 200 * time.Millisecond
 
+// ingressNotice is leaveNotice for a daemon with an ingress: the readiness check asks once a second, and its callers go
+// elsewhere after the second refusal. Half a second is left for requests that are on their way then.
+const ingressNotice = 2500 * time.Millisecond
+
+// leaveNoticeOf returns the shortest drain under the settings.
+func leaveNoticeOf(s *settings.Settings) time.Duration {
+	if s.Ingress != nil {
+		return ingressNotice
+	}
+	return leaveNotice
+}
+
 // drainState is a drain.Machine that is safe for concurrent use.
 type drainState struct {
 	mu      sync.Mutex
@@ -20,8 +33,8 @@
 	since   time.Time // of the begin
 }
 
-func newDrainState(limit time.Duration) *drainState {
-	return &drainState{machine: drain.New(limit), notice: min(leaveNotice, limit)}
+func newDrainState(limit, notice time.Duration) *drainState {
+	return &drainState{machine: drain.New(limit), notice: min(notice, limit)}
 }
 
 // enter admits new work. It returns false once the drain has begun.
--- a/internal/daemon/drainstate_test.go
+++ b/internal/daemon/drainstate_test.go
@@ -10,7 +10,7 @@
 func TestDrainLeavesTimeForTheAnnouncement(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for _, c := range []struct{ limit, exit time.Duration }{{time.Minute, leaveNotice}, {leaveNotice / 4, leaveNotice / 4}} {
-		d := newDrainState(c.limit)
+		d := newDrainState(c.limit, leaveNotice)
 		d.begin(now)
 		if d.done(now.Add(c.exit - 1)) {
 			t.Errorf("limit %v: exits before %v", c.limit, c.exit)
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -95,6 +95,17 @@
 	return g.ctrl.Cutoff(g.now())
 }
 
+// refuseWaiting refuses all waiting requests, because the backend server is leaving.
+func (g *gate) refuseWaiting() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, decided := range g.waiting {
+		delete(g.waiting, id)
+		decided <- call.ReasonLeaving
+		g.apply(g.ctrl.Cancel(g.now(), id))
+	}
+}
+
 func (g *gate) load() admission.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- /dev/null
+++ b/internal/daemon/ingress.go
@@ -0,0 +1,218 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/core/config"
+	"guavapoint.example/guavapoint/internal/core/retry"
+	"guavapoint.example/guavapoint/internal/core/route"
+	"guavapoint.example/guavapoint/internal/settings"
+	"guavapoint.example/guavapoint/internal/wire"
+	"guavapoint.example/guavapoint/platform"
+)
+
+// Times after which a caller may come back, by what was in the way.
+const (
+	// retryAfterOverload lets a few running requests end; half of it is random, so that the callers don't return together.
+	retryAfterOverload = 600 * time.Millisecond
+	// retryAfterChange covers the time in which the daemons learn of an upstream that has left or joined.
+	retryAfterChange = 300 * time.Millisecond
+)
+
+// ingressIdleTimeout closes connections of callers that have gone. It is above the idle timeouts after which callers
+// close connections themselves.
+const ingressIdleTimeout = 60 * time.Second
+
+// hostField carries the host of a request between daemons. net/http keeps it apart from the other fields.
+const hostField = "Host"
+
+// ingressListeners are the sockets of an ingress.
+type ingressListeners struct {
+	calls, ready, announce net.Listener
+}
+
+func openIngress(s *settings.Ingress) (l ingressListeners, err error) {
+	if l.calls, err = net.Listen("tcp", s.Address); err != nil {
+		return l, eris.Wrap(err, "ingress address")
+	}
+	if l.ready, err = net.Listen("tcp", s.ReadyAddress); err != nil {
+		return l, eris.Wrap(err, "ready address")
+	}
+	if l.announce, err = net.Listen("tcp", s.AnnounceAddress); err != nil {
+		return l, eris.Wrap(err, "announce address")
+	}
+	return l, nil
+}
+
+// ingress serves callers that name a host and a path. It finds the service by the configuration's routes and hands the
+// request to the entry.
+type ingress struct {
+	*entry
+	service string // of this VM
+
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func newIngress(e *entry, service string, rng *rand.Rand) *ingress {
+	return &ingress{entry: e, service: service, rng: rng}
+}
+
+func (i *ingress) random() float64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.rng.Float64()
+}
+
+// ServeHTTP serves one request.
+func (i *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	started := i.now()
+	_, doc := i.config.Current()
+	if doc == nil {
+		i.refuse(w, call.ReasonNoUpstream)
+		return
+	}
+	found := doc.Match(r.Host, r.URL.EscapedPath())
+	if found == nil {
+		writeProblem(w, http.StatusNotFound, "unknown-route", "no route has this host and path")
+		return
+	}
+	i.serveRoute(w, r, found, started)
+}
+
+func (i *ingress) serveRoute(w http.ResponseWriter, r *http.Request, found *route.Route, started time.Time) {
+	req := i.request(r, found, started)
+	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
+	defer cancel()
+	// A caller that sends its body too slowly must not hold the request past its deadline.
+	_ = http.NewResponseController(w).SetReadDeadline(req.deadline)
+	req.span = i.report.telemetry.StartSpan("entry", r.Header.Get(headerTrace), req.service, req.rank.Class())
+	res := i.dispatchRoute(ctx, r, req)
+	res.service = req.service
+	req.span.End(res.outcome, res.reason)
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	i.write(w, res)
+	took := i.now().Sub(started)
+	i.report.called(req, res, took, took-req.waited)
+}
+
+// request describes a request by its route.
+func (i *ingress) request(r *http.Request, found *route.Route, started time.Time) *request {
+	wait := found.Timeout
+	if asked, ok := platform.Timeout(r.Header); ok && (wait == 0 || asked < wait) {
+		wait = asked
+	}
+	if wait == 0 {
+		wait = maxTimeout
+	}
+	id := platform.RequestID(r.Header)
+	if !call.ValidRootID(id) {
+		id = randomID()
+	}
+	return &request{
+		service:  found.Choose(i.random()),
+		op:       config.Operation{Name: found.Name, Method: r.Method, Idempotent: found.Kind == route.Idempotent, Upload: found.Kind == route.Upload},
+		path:     r.URL.RequestURI(),
+		rootID:   id,
+		rank:     call.NewRank(found.Class(), id),
+		deadline: started.Add(wait),
+		account:  retry.NewAccount(found.MaxAttempts - 1),
+		routed:   true,
+	}
+}
+
+// dispatchRoute reads the body and sends the request to an upstream.
+func (i *ingress) dispatchRoute(ctx context.Context, r *http.Request, req *request) *result {
+	body, err := newRequestBody(r.Body, r.ContentLength)
+	if err != nil {
+		return notRun(call.ReasonCanceled)
+	}
+	platform.SetCaller(r.Header, i.service)
+	fields := append(forwardedHeaders(r.Header), wire.Header{Name: hostField, Values: []string{r.Host}})
+	if req.op.Idempotent {
+		return i.dispatch.call(ctx, req, fields, body)
+	}
+	return i.dispatch.callOnce(ctx, req, fields, body)
+}
+
+// write answers the caller. A request that did not run is refused with the time after which to come back.
+func (i *ingress) write(w http.ResponseWriter, res *result) {
+	switch {
+	case res.outcome == call.OutcomeAnswered:
+		i.writeUpstreamAnswer(w, res)
+	case res.outcome == call.OutcomeNotRun:
+		i.refuse(w, res.reason)
+	case res.reason == call.ReasonTimeout:
+		writeProblem(w, http.StatusGatewayTimeout, string(res.reason), message(res))
+	default:
+		writeProblem(w, http.StatusBadGateway, string(res.reason), message(res))
+	}
+}
+
+func (i *ingress) refuse(w http.ResponseWriter, reason call.Reason) {
+	platform.SetRetryAfter(w.Header(), i.retryAfter(reason))
+	writeProblem(w, http.StatusServiceUnavailable, string(reason), "the request did not run")
+}
+
+func (i *ingress) retryAfter(reason call.Reason) time.Duration {
+	switch reason {
+	case call.ReasonLeaving, call.ReasonNoUpstream, call.ReasonUnreachable, call.ReasonWrongUpstream:
+		return retryAfterChange
+	default:
+		return retryAfterOverload/2 + time.Duration(i.random()*float64(retryAfterOverload)/2)
+	}
+}
+
+// writeUpstreamAnswer copies an answer as it came. An answer that breaks off aborts the caller's connection.
+func (i *ingress) writeUpstreamAnswer(w http.ResponseWriter, res *result) {
+	applyHeaders(w.Header(), res.header)
+	if res.length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(res.length, 10))
+	}
+	w.WriteHeader(res.status)
+	_, err := io.Copy(w, io.MultiReader(bytes.NewReader(res.start), res.body))
+	res.close(err == nil)
+	if err != nil {
+		i.report.truncated(res.service, res.upstream, res.length)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// readyHandler answers the readiness check: ready from the first configuration until the drain begins.
+func (d *Daemon) readyHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if err := d.readiness(); err != nil {
+			writeProblem(w, http.StatusServiceUnavailable, "not-ready", err.Error())
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+// Causes for which a daemon isn't ready.
+var (
+	errDraining     = errors.New("the daemon is stopping")
+	errUnconfigured = errors.New("no configuration is known yet")
+)
+
+func (d *Daemon) readiness() error {
+	if d.drain.draining() {
+		return errDraining
+	}
+	if _, doc := d.config.Current(); doc == nil {
+		return errUnconfigured
+	}
+	return nil
+}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -78,6 +78,11 @@
 	m.update(func(now time.Time) { m.node.SetState(now, s) })
 }
 
+// setSlots announces the slots of the backend server.
+func (m *members) setSlots(slots int) {
+	m.update(func(now time.Time) { m.node.SetSlots(now, slots) })
+}
+
 // update steps the state machine and carries out what it returns.
 func (m *members) update(f func(now time.Time)) {
 	for _, msg := range m.stepOrdered(f) {
--- /dev/null
+++ b/internal/daemon/minted.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/core/routing"
+	"guavapoint.example/guavapoint/internal/wire"
+)
+
+const (
+	// mintedTTL bounds the time in which a minted token can be spent. It covers the longest wait of a caller and clocks
+	// that are some seconds apart.
+	mintedTTL = time.Minute
+	// resolveTimeout bounds the question for an outcome. It covers a new connection between regions.
+	resolveTimeout = 500 * time.Millisecond
+)
+
+// mint binds a request to an upstream before it is sent there, in the place of a caller that holds no token.
+func mint(now time.Time, req *request, target routing.Candidate) {
+	tok := call.Token{
+		Service:     req.service,
+		Upstream:    target.Address,
+		Incarnation: target.Incarnation,
+		Expiry:      now.Add(mintedTTL),
+	}
+	_, _ = rand.Read(tok.Nonce[:]) // never fails, see crypto/rand
+	req.token, req.tokenRaw, req.minted = &tok, tok.String(), true
+}
+
+// callOnce dispatches a non-idempotent request of a caller that holds no token. It goes to another upstream only after
+// the one before has proved that it did not run.
+func (d *dispatcher) callOnce(ctx context.Context, req *request, fields []wire.Header, body *requestBody) *result {
+	service := d.services.get(req.service, req.op.Name)
+	service.first(d.now())
+	var last *result
+	var tried []string
+	for n := 1; ; n++ {
+		target, err := service.pick(d.now(), d.query(req, body, tried))
+		if err != nil {
+			return unpicked(req, last, err)
+		}
+		tried = append(tried, target.Address)
+		mint(d.now(), req, target)
+		a := d.send(ctx, req, target, fields, body, func(r routing.Result) {
+			service.done(d.now(), target.Address, r)
+		})
+		if lost(a) && a.reason != call.ReasonTimeout {
+			a = d.settle(req, a)
+		}
+		last = a.result
+		if a.outcome != call.OutcomeNotRun || !a.retry || !d.mayRepeat(ctx, req, service, body, a, n) {
+			return last
+		}
+	}
+}
+
+// settle asks what became of a request whose answer is missing. A request that had not started never will.
+func (d *dispatcher) settle(req *request, a attempt) attempt {
+	ctx, cancel := context.WithDeadline(context.Background(), d.now().Add(resolveTimeout))
+	defer cancel()
+	res := d.resolve(ctx, req, a)
+	if res.outcome == call.OutcomeNotRun {
+		return attempt{result: notRun(call.ReasonTokenRefused), sent: true, retry: true}
+	}
+	return attempt{result: res, sent: true}
+}
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -50,8 +50,11 @@
 	parent   *hop        // nil for a root request
 	token    *call.Token // nil without one
 	tokenRaw string
+	minted   bool // the token was made by this daemon
 	span     *telemetry.Span
 	waited   time.Duration // for upstreams and in backoffs
+	// routed marks a request that came by a route. Its caller holds no token; the entry binds it.
+	routed bool
 }
 
 // meetCutoff tells the parent request, if there is one, which cutoff a child call has met.
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"guavapoint.example/guavapoint/internal/core/announce"
 	"net"
 	"net/http"
 	"time"
@@ -35,6 +36,7 @@
 	defer d.tasks.Wait()
 	defer stop()
 	servers := []*http.Server{d.serve(d.calls, d.entry.router()), d.serve(d.admin, d.adminRouter())}
+	servers = append(servers, d.serveIngress()...)
 	d.log.Log(events.DaemonStarting, nil, d.settings.PeerAddress, d.settings.CallAddress, d.settings.AdminAddress,
 		d.settings.Backend.URL)
 	d.start(background)
@@ -45,6 +47,16 @@
 	return d.close(servers, cut)
 }
 
+// serveIngress starts the servers of the ingress, if there is one.
+func (d *Daemon) serveIngress() []*http.Server {
+	if d.settings.Ingress == nil {
+		return nil
+	}
+	calls := d.serve(d.ingress.calls, newIngress(d.entry, d.settings.Service, newRand()))
+	calls.IdleTimeout = ingressIdleTimeout
+	return []*http.Server{calls, d.serve(d.ingress.ready, d.readyHandler()), d.serve(d.ingress.announce, d.announceRouter())}
+}
+
 // serve starts an HTTP server on a listener.
 func (d *Daemon) serve(l net.Listener, h http.Handler) *http.Server {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerReadLimit, MaxHeaderBytes: maxHTTPHeader}
@@ -59,7 +71,9 @@
 // start runs the periodic tasks until the context ends.
 func (d *Daemon) start(ctx context.Context) {
 	d.tasks.Go(func() { d.members.run(ctx) })
-	d.tasks.Go(func() { d.watchBackend(ctx) })
+	if d.announced == nil {
+		d.tasks.Go(func() { d.watchBackend(ctx) })
+	}
 	d.tasks.Go(func() { d.tick(ctx) })
 	d.tasks.Go(func() { d.runSync(ctx) })
 	d.tasks.Go(func() { d.runContracts(ctx) })
@@ -97,6 +111,10 @@
 
 // backendGone tells the others to send nothing until the backend server accepts connections again.
 func (d *Daemon) backendGone() {
+	if d.announced != nil {
+		_ = d.announce(func(t *announce.Tracker) error { t.Crashed(); return nil }) // has no error
+		return
+	}
 	if d.up.CompareAndSwap(true, false) && !d.drain.draining() {
 		d.members.setState(membership.StateStarting)
 	}
@@ -106,6 +124,8 @@
 	switch {
 	case d.drain.draining():
 		return membership.StateLeaving
+	case d.announced != nil:
+		return d.announcedState()
 	case d.up.Load():
 		return membership.StateServing
 	default:
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"guavapoint.example/guavapoint/internal/core/announce"
 	"io"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,7 @@
 	config      *config.Holder
 	drain       *drainState
 	gate        *gate
+	announced   *announced // nil where the backend server doesn't announce itself
 	tokens      *tokens
 	suspects    *suspects
 	hops        *hopTable
@@ -74,7 +76,7 @@
 	if v.header.Token != "" {
 		return u.serveBound(ctx, v)
 	}
-	if !u.drain.enter() {
+	if !u.accepts() || !u.drain.enter() {
 		return notRun(call.ReasonLeaving)
 	}
 	res := u.admitAndRun(ctx, v)
@@ -82,6 +84,11 @@
 	return withFinish(res, u.drain.leave)
 }
 
+// accepts reports whether the backend server takes new work.
+func (u *upstream) accepts() bool {
+	return u.announced == nil || u.announced.current().State == announce.Ready
+}
+
 // bodyLost is the result of a call whose body broke off. It did not run, but an earlier one with the same token may have.
 func bodyLost(h *wire.CallHeader) *result {
 	if h.Token != "" {
@@ -123,6 +130,10 @@
 	if reason != call.ReasonNone {
 		return notRun(reason)
 	}
+	if !u.accepts() {
+		u.gate.abandon(ticket)
+		return notRun(call.ReasonLeaving)
+	}
 	done, reason := u.suspects.enter(ctx, v.print)
 	if reason != call.ReasonNone {
 		u.gate.abandon(ticket)
--- a/internal/daemon/servebound.go
+++ b/internal/daemon/servebound.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/rand"
+	"errors"
 	"io"
 	"strings"
 	"sync"
@@ -42,6 +43,17 @@
 	return tok, t.table.Issue(now, tok)
 }
 
+// adopt takes a token that the caller's daemon has minted, unless it is known. Errors are those of outcome.Table.Issue.
+func (t *tokens) adopt(tok call.Token) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	err := t.table.Issue(t.now(), tok)
+	if errors.Is(err, outcome.ErrDuplicate) {
+		return nil
+	}
+	return err
+}
+
 // begin spends a token. With outcome.Running it also returns a channel that is closed when the running request
 // finishes.
 func (t *tokens) begin(tok call.Token, fp outcome.Fingerprint) (outcome.Status, *outcome.Answer, <-chan struct{}, error) {
@@ -98,6 +110,11 @@
 	if err != nil || tok.Upstream != u.self || tok.Service != u.service {
 		return unknown(call.ReasonIncarnationGone)
 	}
+	if v.header.Minted {
+		if err := u.tokens.adopt(tok); err != nil {
+			return notRun(mintedReason(err)) // its only sender has just handed it over
+		}
+	}
 	for {
 		status, answer, finished, err := u.tokens.begin(tok, outcome.Fingerprint(v.print))
 		switch {
@@ -111,6 +128,18 @@
 	}
 }
 
+// mintedReason says why a minted token was not taken.
+func mintedReason(err error) call.Reason {
+	switch {
+	case errors.Is(err, outcome.ErrTableFull):
+		return call.ReasonTableFull
+	case errors.Is(err, outcome.ErrExpired):
+		return call.ReasonTokenExpired
+	default:
+		return call.ReasonWrongUpstream
+	}
+}
+
 // waitFor returns false when the context ends first.
 func waitFor(ctx context.Context, c <-chan struct{}) bool {
 	select {
@@ -137,7 +166,7 @@
 // runBound dispatches a request whose token has just been spent. The work goes on when the caller goes away, since a
 // non-idempotent request that has been dispatched is never cancelled.
 func (u *upstream) runBound(ctx context.Context, v *serving, tok call.Token) *result {
-	if !u.drain.enter() {
+	if !u.accepts() || !u.drain.enter() {
 		u.tokens.refuse(tok)
 		return notRun(call.ReasonLeaving)
 	}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -2,14 +2,15 @@
 
 // Start and stop.
 var (
-	DaemonStarting = define(1001, info, "daemon-starting", "daemon is starting", "version", "peer_address", "call_address", "admin_address", "backend")
-	DaemonServing  = define(1002, info, "daemon-serving", "daemon accepts calls", "startup")
-	StartFailed    = define(1003, failure, "start-failed", "daemon could not start", "step", "error")
-	DrainBegun     = define(1004, info, "drain-begun", "graceful shutdown began; new work is refused", "cause", "in_flight", "limit")
-	DrainFinished  = define(1005, info, "drain-finished", "graceful shutdown finished; nothing is in flight", "duration")
-	DrainLimit     = define(1006, failure, "drain-limit-passed", "drain limit passed with requests in flight", "in_flight", "limit")
-	DaemonStopped  = define(1008, info, "daemon-stopped", "daemon stopped", "uptime")
-	ListenerFailed = define(1010, failure, "listener-failed", "listener stopped accepting connections", "listener", "address", "error")
+	DaemonStarting   = define(1001, info, "daemon-starting", "daemon is starting", "version", "peer_address", "call_address", "admin_address", "backend")
+	DaemonServing    = define(1002, info, "daemon-serving", "daemon accepts calls", "startup")
+	StartFailed      = define(1003, failure, "start-failed", "daemon could not start", "step", "error")
+	DrainBegun       = define(1004, info, "drain-begun", "graceful shutdown began; new work is refused", "cause", "in_flight", "limit")
+	DrainFinished    = define(1005, info, "drain-finished", "graceful shutdown finished; nothing is in flight", "duration")
+	DrainLimit       = define(1006, failure, "drain-limit-passed", "drain limit passed with requests in flight", "in_flight", "limit")
+	DaemonStopped    = define(1008, info, "daemon-stopped", "daemon stopped", "uptime")
+	SettingsReloaded = define(1011, info, "settings-reloaded", "SIGHUP: the settings were read again", "changed", "error")
+	ListenerFailed   = define(1010, failure, "listener-failed", "listener stopped accepting connections", "listener", "address", "error")
 )
 
 // Membership.
@@ -53,6 +54,9 @@
 // Quarantine.
 var (
 	BackendCrashed       = define(5001, failure, "backend-server-crashed", "the backend server died", "in_flight", "error")
+	BackendAnnounced     = define(5008, info, "backend-server-announced", "a heartbeat changed what is known of the backend server", "instance", "born", "from", "to", "slots")
+	HeartbeatRejected    = limited(5009, warning, "heartbeat-rejected", "a heartbeat was rejected", "instance", "error")
+	AnswerRejected       = limited(5010, failure, "answer-rejected", "an answer of the backend server can't be passed on", "request_id", "status", "cause")
 	BackendAvailable     = define(5002, info, "backend-server-available", "the backend server accepts connections", "outage")
 	SuspectsRecorded     = define(5003, warning, "suspects-recorded", "requests in flight at a crash became suspects", "fingerprints")
 	FingerprintConfirmed = define(5004, failure, "fingerprint-confirmed", "a request crashed a backend server while it ran alone; it is refused everywhere", "fingerprint", "until")
@@ -63,13 +67,14 @@
 
 // Transport and platform.
 var (
-	ConnectionFailed    = limited(6001, warning, "connection-failed", "a connection to a peer could not be opened", "address", "error")
-	ConnectionSilent    = limited(6002, warning, "connection-silent", "a connection went silent with calls outstanding; a new one replaces it", "address", "calls")
-	PeerRejected        = limited(6003, failure, "peer-rejected", "a peer's certificate was rejected", "remote", "error")
-	MessageRejected     = limited(6004, warning, "message-rejected", "a peer's message was rejected", "remote", "error")
-	PlatformUnavailable = define(6005, warning, "platform-unavailable", "the platform doesn't answer; the configuration stays as it is", "operation", "error")
-	PlatformAvailable   = define(6006, info, "platform-available", "the platform answers again", "outage")
-	PlatformUnknown     = limited(6007, warning, "platform-write-unknown", "the outcome of a platform write is not known", "operation", "error")
-	ExportFailed        = limited(6008, warning, "trace-export-failed", "trace spans could not be exported", "error")
-	CertificateExpiring = define(6009, failure, "certificate-expiring", "this daemon's certificate expires soon", "expires")
+	ConnectionFailed     = limited(6001, warning, "connection-failed", "a connection to a peer could not be opened", "address", "error")
+	ConnectionSilent     = limited(6002, warning, "connection-silent", "a connection went silent with calls outstanding; a new one replaces it", "address", "calls")
+	PeerRejected         = limited(6003, failure, "peer-rejected", "a peer's certificate was rejected", "remote", "error")
+	MessageRejected      = limited(6004, warning, "message-rejected", "a peer's message was rejected", "remote", "error")
+	PlatformUnavailable  = define(6005, warning, "platform-unavailable", "the platform doesn't answer; the configuration stays as it is", "operation", "error")
+	PlatformAvailable    = define(6006, info, "platform-available", "the platform answers again", "outage")
+	PlatformUnknown      = limited(6007, warning, "platform-write-unknown", "the outcome of a platform write is not known", "operation", "error")
+	ExportFailed         = limited(6008, warning, "trace-export-failed", "trace spans could not be exported", "error")
+	PeersUnauthenticated = define(6010, warning, "peers-unauthenticated", "the settings name no certificates; connections between daemons are encrypted but not authenticated")
+	CertificateExpiring  = define(6009, failure, "certificate-expiring", "this daemon's certificate expires soon", "expires")
 )
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"time"
 )
 
 // Load reads and checks a settings file, including the TLS files that it names. It returns a *ReadError when the file
@@ -20,8 +21,10 @@
 	}
 	s, problems := decode(file, data)
 	if s != nil {
-		s.TLS.resolve(filepath.Dir(file))
-		problems = append(problems, s.TLS.check(file)...)
+		if s.TLS.Given() || s.Ingress == nil {
+			s.TLS.resolve(filepath.Dir(file))
+			problems = append(problems, s.TLS.check(file)...)
+		}
 	}
 	if len(problems) > 0 {
 		return nil, &InvalidError{Problems: problems}
@@ -71,7 +74,7 @@
 
 func (r *reader) settings(root *node) *Settings {
 	o := r.object("", root, "name", "service", "region", "zone", "peer_address", "call_address", "admin_address",
-		"backend", "tls", "platform", "peers", "calls", "telemetry", "log", "drain_limit")
+		"backend", "tls", "platform", "peers", "calls", "telemetry", "log", "drain_limit", "ingress", "bounds")
 	s := &Settings{
 		Name:         o.text("name", "", nameCheck),
 		Service:      o.text("service", "", nameCheck),
@@ -85,7 +88,11 @@
 		r.report("admin_address", strconv.Quote(s.AdminAddress)+", which is also call_address", "an address of its own")
 	}
 	s.Backend = r.backend(o.get("backend"))
-	s.TLS = r.tls(o.get("tls"))
+	s.Ingress = r.ingress(o.get("ingress"))
+	s.Bounds = r.bounds(o.get("bounds"))
+	if o.get("tls") != nil || s.Ingress == nil {
+		s.TLS = r.tls(o.get("tls"))
+	}
 	s.Platform = r.platform(o.get("platform"))
 	s.Peers = o.list("peers", 0, MaxPeers, addressCheck)
 	s.Calls = o.list("calls", 0, MaxCalls, nameCheck)
@@ -98,7 +105,10 @@
 }
 
 func (r *reader) backend(n *node) Backend {
-	o := r.object("backend", n, "url", "slots", "connections")
+	o := r.object("backend", n, "url", "slots", "connections", "announced")
+	if o.flag("announced") {
+		return Backend{URL: o.text("url", "", announcedCheck), Slots: 1, Connections: MaxConnections, Announced: true}
+	}
 	b := Backend{
 		URL:         o.text("url", "", backendCheck),
 		Slots:       o.integer("slots", 1, MaxSlots),
@@ -111,6 +121,30 @@
 	return b
 }
 
+func (r *reader) ingress(n *node) *Ingress {
+	if n == nil {
+		return nil
+	}
+	o := r.object("ingress", n, "address", "ready_address", "announce_address")
+	return &Ingress{
+		Address:         o.text("address", "", addressCheck),
+		ReadyAddress:    o.text("ready_address", "", addressCheck),
+		AnnounceAddress: o.text("announce_address", "", addressCheck),
+	}
+}
+
+func (r *reader) bounds(n *node) Bounds {
+	b := Bounds{RetryRatio: DefaultRetryRatio, RetrySlack: DefaultRetrySlack, RetryWindow: DefaultRetryWindow}
+	if n == nil {
+		return b
+	}
+	o := r.object("bounds", n, "retry_ratio", "retry_slack", "retry_window")
+	b.RetryRatio = o.share("retry_ratio")
+	b.RetrySlack = o.integer("retry_slack", 0, MaxSlots)
+	b.RetryWindow = o.duration("retry_window", DefaultRetryWindow, time.Second, time.Hour)
+	return b
+}
+
 func (r *reader) tls(n *node) TLS {
 	o := r.object("tls", n, "certificate", "key", "authority")
 	return TLS{
--- a/internal/settings/reader.go
+++ b/internal/settings/reader.go
@@ -117,6 +117,34 @@
 	return v
 }
 
+// flag returns a boolean field, false where it is absent.
+func (o object) flag(name string) bool {
+	n := o.get(name)
+	if n == nil {
+		return false
+	}
+	if n.kind != kindBool {
+		o.r.report(o.join(name), describe(n), "true or false")
+		return false
+	}
+	return n.text == "true"
+}
+
+// share returns a required number from 0 to 1.
+func (o object) share(name string) float64 {
+	n := o.get(name)
+	if n == nil {
+		o.missing(name, "a number from 0 to 1")
+		return 0
+	}
+	v, err := strconv.ParseFloat(n.text, 64)
+	if n.kind != kindNumber || err != nil || v < 0 || v > 1 {
+		o.r.report(o.join(name), describe(n), "a number from 0 to 1")
+		return 0
+	}
+	return v
+}
+
 // duration returns an optional duration field from low to high.
 func (o object) duration(name string, fallback, low, high time.Duration) time.Duration {
 	n := o.get(name)
@@ -214,6 +242,10 @@
 		allowed: "a URL http://ip:port without a path, on a loopback address, because this hop is not encrypted",
 		valid:   validBackendURL,
 	}
+	announcedCheck = check{
+		allowed: "a URL http://ip:port without a path, on this VM",
+		valid:   func(s string) bool { u, ok := parseURL(s); return ok && u.Scheme == "http" && u.Path == "" },
+	}
 	platformCheck = check{
 		allowed: "a URL http://ip:port or https://ip:port without a path",
 		valid:   func(s string) bool { u, ok := parseURL(s); return ok && u.Path == "" },
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,13 @@
 	DefaultDrainLimit = 30 * time.Second
 )
 
+// Defaults of Bounds, which a deployment of a few daemons keeps.
+const (
+	DefaultRetryRatio  = 0.1
+	DefaultRetrySlack  = 10
+	DefaultRetryWindow = 10 * time.Second
+)
+
 // Bounds of settings.
 const (
 	// MaxNameLength bounds the names of daemons, services, regions and zones, in bytes. A service name is part of a
@@ -54,8 +61,13 @@
 	AdminAddress string
 	// Backend is the backend server beside the daemon.
 	Backend Backend
-	// TLS names the files for mutual TLS between daemons.
+	// TLS names the files for mutual TLS between daemons. Without them the daemon uses a key of its own for each start, and
+	// peers are not authenticated.
 	TLS TLS
+	// Ingress is set where callers name a host and a path instead of a service; nil otherwise.
+	Ingress *Ingress
+	// Bounds are the limits that the whole deployment keeps together.
+	Bounds Bounds
 	// Platform locates the platform's key-value service.
 	Platform Platform
 	// Peers are the peer addresses of other daemons to join through. The daemon's own address may be among them, so
@@ -78,6 +90,23 @@
 	Slots int
 	// Connections is the number of connections that the backend server accepts; at least Slots.
 	Connections int
+	// Announced means that the backend server announces itself by heartbeats, which also tell its slots.
+	Announced bool
+}
+
+// Ingress holds the addresses (ip:port) for callers that name a host and a path, for the readiness check, and for the
+// heartbeats of the backend server.
+type Ingress struct {
+	Address, ReadyAddress, AnnounceAddress string
+}
+
+// Bounds are limits that hold for all daemons of a deployment together.
+type Bounds struct {
+	// RetryRatio and RetrySlack bound the repeated requests to one service in each RetryWindow: the ratio of its requests,
+	// and a number on top.
+	RetryRatio  float64
+	RetrySlack  int
+	RetryWindow time.Duration
 }
 
 // TLS names PEM files. Load makes relative names relative to the settings file.
@@ -88,6 +117,11 @@
 	Authority string
 }
 
+// Given reports whether files are named.
+func (t TLS) Given() bool {
+	return t != (TLS{})
+}
+
 // Platform locates the platform's key-value service.
 type Platform struct {
 	URLs []string
--- a/internal/transport/config.go
+++ b/internal/transport/config.go
@@ -78,7 +78,7 @@
 	if c.Handler == nil {
 		return c, errors.New("transport: Config.Handler is nil")
 	}
-	if c.TLS == nil || len(c.TLS.Certificates) == 0 || c.TLS.RootCAs == nil {
+	if c.TLS == nil || len(c.TLS.Certificates) == 0 || (c.TLS.RootCAs == nil && !c.TLS.InsecureSkipVerify) {
 		return c, errors.New("transport: Config.TLS needs a certificate and an authority")
 	}
 	setDefault(&c.PingAfter, DefaultPingAfter)
--- a/internal/transport/tls.go
+++ b/internal/transport/tls.go
@@ -1,12 +1,17 @@
 package transport
 
 import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
 	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
 	"fmt"
+	"math/big"
 	"os"
+	"time"
 
 	"github.com/quic-go/quic-go"
 )
@@ -32,11 +37,37 @@
 	return &tls.Config{Certificates: []tls.Certificate{pair}, RootCAs: pool, MinVersion: tls.VersionTLS13}, nil
 }
 
+// selfSignedLifetime is the validity of the key of one start. A daemon is restarted well before it ends.
+const selfSignedLifetime = 365 * 24 * time.Hour
+
+// SelfSignedTLS returns a configuration with a new key, for deployments that give the daemons none. Calls are encrypted,
+// but peers are not authenticated.
+func SelfSignedTLS() (*tls.Config, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, fmt.Errorf("generate key: %w", err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(selfSignedLifetime)}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return nil, fmt.Errorf("create certificate: %w", err)
+	}
+	pair := tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
+	return &tls.Config{Certificates: []tls.Certificate{pair}, InsecureSkipVerify: true, MinVersion: tls.VersionTLS13}, nil
+}
+
+// authenticates reports whether a configuration verifies its peers.
+func authenticates(c *tls.Config) bool {
+	return c.RootCAs != nil
+}
+
 // serverTLS derives the configuration for accepted connections.
 func serverTLS(base *tls.Config) *tls.Config {
 	c := base.Clone()
-	c.ClientCAs = base.RootCAs
-	c.ClientAuth = tls.RequireAndVerifyClientCert
+	if authenticates(base) {
+		c.ClientCAs = base.RootCAs
+		c.ClientAuth = tls.RequireAndVerifyClientCert
+	}
 	c.NextProtos = []string{ALPN}
 	c.MinVersion = tls.VersionTLS13
 	c.SessionTicketsDisabled = true // a ticket would outlive the certificate that it was issued for
@@ -50,6 +81,9 @@
 	c.NextProtos = []string{ALPN}
 	c.MinVersion = tls.VersionTLS13
 	c.InsecureSkipVerify = true // replaced by VerifyConnection
+	if !authenticates(base) {
+		return c
+	}
 	c.VerifyConnection = func(state tls.ConnectionState) error {
 		return verifyChain(state.PeerCertificates, base.RootCAs)
 	}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -58,6 +58,9 @@
 	// From is the peer address of the caller's daemon. The UDP source address may be another one, because a connection can
 	// be opened from any local port.
 	From string `cbor:"15,keyasint,omitempty"`
+	// Minted marks a token that the caller's daemon has made itself, for a caller that holds none. The upstream's daemon
+	// takes it as issued.
+	Minted bool `cbor:"16,keyasint,omitempty"`
 }
 
 // AnswerHeader opens the answer on a call stream. Where Outcome is call.OutcomeAnswered, the body follows in frames and
@@ -124,6 +127,8 @@
 // the question, so that "not run" is proved.
 type ResolveRequest struct {
 	Token string `cbor:"1,keyasint"`
+	// Minted is that of the call. A minted token that never arrived becomes refused as well.
+	Minted bool `cbor:"2,keyasint,omitempty"`
 }
 
 // ResolveAnswer answers a ResolveRequest.
