--- a/internal/core/config/config_test.go
+++ b/internal/core/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/core/route"
 )
 
 const presetText = `{"retry_budget": 3, "retry_ratio": 0.1, "default_timeout": "2s", "slot_share": 1.0,
@@ -217,3 +219,22 @@
 		}
 	})
 }
+
+// Guards against a document of another operator's system that peers reject: it must survive encoding with its routes.
+func TestDefaultDocumentWithRoutesIsValid(t *testing.T) {
+	d := Default("operator", "r7")
+	d.Services["lookup"] = Service{Operations: []Operation{}}
+	d.Routes = []route.Route{{Name: "r-1", Host: "a.example", Prefix: "/x/", Kind: route.Upload, Timeout: 1500 * time.Millisecond,
+		TargetLatency: time.Second, MaxAttempts: 2, Priority: 1, Targets: []route.Target{{Service: "lookup", Weight: 90}, {Service: "other", Weight: 10}}}}
+	data, err := d.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := Parse(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := parsed.Match("a.example", "/x/1"); got == nil || !reflect.DeepEqual(*got, d.Routes[0]) {
+		t.Fatalf("got %+v, want %+v", got, d.Routes[0])
+	}
+}
--- a/internal/core/config/document.go
+++ b/internal/core/config/document.go
@@ -220,7 +220,7 @@
 	for _, name := range PresetNames() {
 		presets[name] = preset
 	}
-	return &Document{Format: Format, ChangeID: changeID, ChangedBy: changedBy, Active: PresetOrdinary, Presets: presets,
+	return &Document{Format: Format, Epoch: 1, ChangeID: changeID, ChangedBy: changedBy, Active: PresetOrdinary, Presets: presets,
 		Services: make(map[string]Service), Batches: []Batch{}}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -168,7 +168,31 @@
 	if _, doc := d.config.Current(); doc != nil {
 		ratio = doc.ActivePreset().RetryRatio
 	}
-	return retry.NewRatio(retry.RatioConfig{Ratio: ratio, Floor: retry.DefaultFloor})
+	if d.settings.Ingress == nil {
+		return retry.NewRatio(retry.RatioConfig{Ratio: ratio, Floor: retry.DefaultFloor})
+	}
+	return retry.NewRatio(d.boundedRatio(ratio))
+}
+
+// boundShare is the part of the deployment's bounds on repeated requests that daemons use. The rest is for what they
+// can't count alike: their windows differ, and so do their numbers of live daemons.
+const boundShare = 0.5
+
+// boundedRatio keeps this daemon's share of the bounds that hold for all daemons together, without talking to them: the
+// same ratio of its own requests, and an equal part of the number on top.
+func (d *Daemon) boundedRatio(ratio float64) retry.RatioConfig {
+	b := d.settings.Bounds
+	alive := 0
+	for _, r := range d.members.records() {
+		if r.Alive() {
+			alive++
+		}
+	}
+	return retry.RatioConfig{
+		Ratio:  min(ratio, boundShare*b.RetryRatio),
+		Window: b.RetryWindow,
+		Floor:  int(boundShare * float64(b.RetrySlack) / float64(max(alive, 1))),
+	}
 }
 
 // admissionConfig returns the admission limits under a preset; before the first configuration arrives doc is nil.
--- a/internal/daemon/drainstate.go
+++ b/internal/daemon/drainstate.go
@@ -29,12 +29,14 @@
 type drainState struct {
 	mu      sync.Mutex
 	machine *drain.Machine
+	limit   time.Duration
 	notice  time.Duration
 	since   time.Time // of the begin
+	held    int       // requests of callers, which are served until the exit
 }
 
 func newDrainState(limit, notice time.Duration) *drainState {
-	return &drainState{machine: drain.New(limit), notice: min(notice, limit)}
+	return &drainState{machine: drain.New(limit), limit: limit, notice: min(notice, limit)}
 }
 
 // enter admits new work. It returns false once the drain has begun.
@@ -51,6 +53,20 @@
 	d.machine.Leave()
 }
 
+// hold counts a request that keeps the daemon from exiting and that the drain doesn't refuse.
+func (d *drainState) hold() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.held++
+}
+
+// release ends a request that hold has counted.
+func (d *drainState) release() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.held--
+}
+
 // begin starts the drain.
 func (d *drainState) begin(now time.Time) {
 	d.mu.Lock()
@@ -72,12 +88,15 @@
 func (d *drainState) done(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.machine.Done(now) && now.Sub(d.since) >= d.notice
+	if !d.machine.Done(now) || now.Sub(d.since) < d.notice {
+		return false
+	}
+	return d.held == 0 || now.Sub(d.since) >= d.limit
 }
 
 // inFlight returns the number of requests in flight.
 func (d *drainState) inFlight() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.machine.InFlight()
+	return d.machine.InFlight() + d.held
 }
--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -78,6 +78,8 @@
 
 // ServeHTTP serves one request.
 func (i *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	i.drain.hold()
+	defer i.drain.release()
 	started := i.now()
 	_, doc := i.config.Current()
 	if doc == nil {
--- a/internal/events/logger.go
+++ b/internal/events/logger.go
@@ -30,9 +30,9 @@
 // New returns a logger that writes JSON lines of the given level and above ("debug", "info", "warning" or "error") to
 // w. The fixed fields, such as the daemon's name and zone, are on every line.
 func New(w io.Writer, level string, fixed map[string]any) (*Logger, error) {
-	parsed, err := logrus.ParseLevel(level)
-	if err != nil || parsed < failure || parsed > debug {
-		return nil, fmt.Errorf("log level %q, allowed are debug, info, warning and error", level)
+	parsed, err := parseLevel(level)
+	if err != nil {
+		return nil, err
 	}
 	log := logrus.New()
 	log.SetOutput(w)
@@ -47,6 +47,25 @@
 	return l
 }
 
+// SetLevel changes the lowest level that is written. Lines that are being written keep the former one.
+func (l *Logger) SetLevel(level string) error {
+	parsed, err := parseLevel(level)
+	if err != nil {
+		return err
+	}
+	l.log.SetLevel(parsed)
+	return nil
+}
+
+// parseLevel accepts the levels that events have.
+func parseLevel(level string) (logrus.Level, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil || parsed < failure || parsed > debug {
+		return 0, fmt.Errorf("log level %q, allowed are debug, info, warning and error", level)
+	}
+	return parsed, nil
+}
+
 // Log writes one line. The values belong to e.Fields in their order; a missing one is written as null, and surplus ones
 // are in the field "surplus", so that a wrong call loses nothing.
 func (l *Logger) Log(e *Event, values ...any) {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -29,6 +29,7 @@
 	if len(problems) > 0 {
 		return nil, &InvalidError{Problems: problems}
 	}
+	s.File = file
 	return s, nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,8 @@
 
 // Settings is the configuration of one daemon that doesn't change while it runs.
 type Settings struct {
+	// File is the file that the settings were read from, "" where they were not.
+	File string
 	// Name identifies the daemon in logs and metrics.
 	Name string
 	// Service is the service that the backend server beside this daemon provides.
