--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -26,6 +26,9 @@
 	QueueDelay time.Duration
 	// LowestClass is the lowest class that is admitted.
 	LowestClass call.Class
+	// Announced means that the backend server has told its slots, so that no limit below them is tried. What it refuses
+	// within them it refuses for another reason than its load.
+	Announced bool
 }
 
 func (cfg Config) normalized() Config {
@@ -130,7 +133,9 @@
 // Done reports the end of a running request and frees its slot. An unknown ID has no effect.
 func (c *Controller) Done(now time.Time, id uint64, s Sample) []Effect {
 	if r, ok := c.running[id]; ok {
-		c.limiter.sample(r, s)
+		if !c.cfg.Announced {
+			c.limiter.sample(r, s)
+		}
 		c.typical.sample(now, now.Sub(r.at))
 		c.release(id, r)
 	}
@@ -165,6 +170,9 @@
 func (c *Controller) SetConfig(now time.Time, cfg Config) []Effect {
 	c.cfg = cfg.normalized()
 	c.limiter.setMax(c.cfg.slots())
+	if c.cfg.Announced {
+		c.limiter.reset()
+	}
 	var effects []Effect
 	for n := c.queue.len(); n > 0 && c.queue.at(n-1).Rank.Class() < c.cfg.LowestClass; n-- {
 		effects = append(effects, Effect{c.queue.remove(n - 1).ID, Refused, call.ReasonOverload})
--- a/internal/core/admission/limiter.go
+++ b/internal/core/admission/limiter.go
@@ -84,6 +84,12 @@
 	l.clamp()
 }
 
+// reset returns to the full limit.
+func (l *limiter) reset() {
+	l.limit = float64(l.max)
+	l.trial = trial{}
+}
+
 // observe records how many requests run and wait.
 func (l *limiter) observe(running, queued int) {
 	l.window.peak = max(l.window.peak, running)
--- a/internal/core/routing/choice.go
+++ b/internal/core/routing/choice.go
@@ -14,13 +14,19 @@
 type scored struct {
 	*upstream
 	score float64
+	load  float64
 }
 
+// spillAt is the load of a tier's choice above which a farther tier is looked at. A nearer upstream answers sooner and
+// costs no traffic between zones while it has free slots; one that is nearly full makes its requests wait. The link
+// between regions is slow and billed by volume, so it is used last.
+var spillAt = [numTiers]float64{tierZone: 0.7, tierRegion: 0.85, tierRemote: 0.95}
+
 // add is reservoir sampling with two places.
-func (cs *choices) add(u *upstream, score float64, rng *rand.Rand) {
+func (cs *choices) add(u *upstream, score, load float64, rng *rand.Rand) {
 	p := &cs[u.tier]
 	p.seen++
-	s := scored{u, score}
+	s := scored{u, score, load}
 	switch {
 	case p.seen == 1:
 		p.first = s
@@ -40,20 +46,31 @@
 	}
 }
 
-// nearest returns the better of the two in the first tier that has any, or nil.
-func (cs *choices) nearest() *upstream {
+// best returns the better of the two in the nearest tier that has room, or the least loaded one where none has. It is nil
+// without any.
+func (cs *choices) best() *upstream {
+	var least *scored
 	for i := range cs {
-		p := &cs[i]
-		if p.seen > 0 {
-			return p.better()
+		if cs[i].seen == 0 {
+			continue
+		}
+		s := cs[i].better()
+		if s.load <= spillAt[i] {
+			return s.upstream
 		}
+		if least == nil || s.load < least.load {
+			least = s
+		}
+	}
+	if least == nil {
+		return nil
 	}
-	return nil
+	return least.upstream
 }
 
-func (p *pair) better() *upstream {
+func (p *pair) better() *scored {
 	if p.seen > 1 && p.other.score < p.first.score {
-		return p.other.upstream
+		return &p.other
 	}
-	return p.first.upstream
+	return &p.first
 }
--- a/internal/core/routing/picker.go
+++ b/internal/core/routing/picker.go
@@ -70,6 +70,8 @@
 	Cutoff call.Rank
 	// Bytes is the size of the response in bytes.
 	Bytes int64
+	// Load is the upstream's running and waiting requests relative to its limit, from the response; negative if unknown.
+	Load float64
 }
 
 // Picker chooses among the upstreams of one service.
@@ -127,7 +129,7 @@
 	if !present {
 		return Candidate{}, ErrNoUpstream
 	}
-	u := choices.nearest()
+	u := choices.best()
 	if u == nil {
 		if u = p.probe(now, q); u == nil {
 			return Candidate{}, ErrBelowCutoff
@@ -168,6 +170,7 @@
 		p.cfg.Link.settle(now, r.Bytes)
 	}
 	u.recordHint(now, r)
+	u.recordLoad(now, r)
 	if r.Outcome == call.OutcomeNotRun && r.Reason == call.ReasonLeaving {
 		u.leavingUntil = now.Add(leavingTTL)
 	}
@@ -194,7 +197,7 @@
 		if u.refuses(now, q.Rank) {
 			continue
 		}
-		cs.add(u, p.score(now, u), p.rng)
+		cs.add(u, p.score(now, u), u.load(now), p.rng)
 	}
 	return cs, present
 }
@@ -207,10 +210,10 @@
 	var cs choices
 	for _, u := range p.upstreams {
 		if u.usable(now, q.Exclude) {
-			cs.add(u, p.score(now, u), p.rng)
+			cs.add(u, p.score(now, u), u.load(now), p.rng)
 		}
 	}
-	return cs.nearest()
+	return cs.best()
 }
 
 func (p *Picker) cross(now time.Time, u *upstream, q Query) bool {
--- a/internal/core/routing/upstream.go
+++ b/internal/core/routing/upstream.go
@@ -14,6 +14,9 @@
 	latencyWeight = 0.1
 	// latencyMemory is the age at which a latency counts half. An upstream that was slow is so tried again.
 	latencyMemory = 2 * time.Second
+	// loadMemory is the age at which a reported load counts no more. Requests take a few hundred milliseconds, so the load
+	// is another one after that.
+	loadMemory = time.Second
 	// rampStart is the share of calls that a cold upstream begins with.
 	rampStart = 0.1
 )
@@ -40,6 +43,10 @@
 	cutoff   call.Rank
 	cutoffAt time.Time
 
+	reported     float64 // load at loadAt
+	loadAt       time.Time
+	sentAtReport int // inFlight at loadAt
+
 	leavingUntil time.Time
 	health       health
 }
@@ -62,6 +69,23 @@
 	}
 }
 
+// recordLoad takes the load from a response of the upstream.
+func (u *upstream) recordLoad(now time.Time, r Result) {
+	if r.Load >= 0 && (r.Outcome == call.OutcomeAnswered || refusedByUpstream(r)) {
+		u.reported, u.loadAt, u.sentAtReport = r.Load, now, u.inFlight
+	}
+}
+
+// load estimates the share of the upstream's limit that is taken: what it last reported, which counts less with its age,
+// and what this daemon has sent since.
+func (u *upstream) load(now time.Time) float64 {
+	slots := float64(max(u.Slots, 1))
+	own := float64(u.inFlight) / slots
+	fresh := max(1-now.Sub(u.loadAt).Seconds()/loadMemory.Seconds(), 0)
+	sent := float64(max(u.inFlight-u.sentAtReport, 0)) / slots
+	return max(own, u.reported*fresh+sent)
+}
+
 func refusedByUpstream(r Result) bool {
 	return r.Outcome == call.OutcomeNotRun && (r.Reason == call.ReasonOverload || r.Reason == call.ReasonDeadline)
 }
--- /dev/null
+++ b/internal/core/throttle/throttle.go
@@ -0,0 +1,84 @@
+// Package throttle answers one load pattern: a deep service sheds calls, so the requests above it fail after their work
+// was spent, while every service that they reach first has room and admits them. Shedding at the deep service alone
+// then completes few whole requests: with four calls each, a request survives the loss of half of the calls one time in
+// sixteen.
+//
+// A Throttle observes how the requests of one route end at one entry and lets a fraction pass such that most of those
+// that pass complete. The rest is refused at the entry, before any work. It needs no message between daemons. Routes of
+// important classes are not throttled: they complete on what the others leave.
+package throttle
+
+import (
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+)
+
+const (
+	// Interval is the shortest time between two changes of the fraction. Requests take a few hundred milliseconds, so a
+	// shorter one would judge a change before its effect shows.
+	Interval = 500 * time.Millisecond
+	// leastSamples is the number of ended requests that a change needs; fewer say little about the rate of failures.
+	leastSamples = 8
+	// failuresHigh is the share of failures above which less is let through, failuresLow the one below which more is.
+	failuresHigh = 0.2
+	failuresLow  = 0.1
+	// reserve lets through a little more than completed, so that a fall by chance isn't kept.
+	reserve = 1.1
+	// growth and step raise the fraction: from the least to all in about six intervals.
+	growth = 1.3
+	step   = 0.05
+	// least is the fraction that always passes, without which the end of an overload would not show.
+	least = 0.1
+	// HighestClass is the highest class that is throttled.
+	HighestClass = call.ClassNormal
+)
+
+// Throttle holds the fraction for one route. It is not safe for concurrent use.
+type Throttle struct {
+	pass     float64
+	since    time.Time
+	ended    int
+	failures int
+}
+
+// New returns a throttle that lets everything pass.
+func New() *Throttle {
+	return &Throttle{pass: 1}
+}
+
+// Allow decides on a request. u is uniform in [0, 1).
+func (t *Throttle) Allow(class call.Class, u float64) bool {
+	return class > HighestClass || u < t.pass
+}
+
+// Pass returns the fraction of the requests that passes.
+func (t *Throttle) Pass() float64 {
+	return t.pass
+}
+
+// Done reports the end of a request that was allowed.
+func (t *Throttle) Done(now time.Time, completed bool) {
+	if t.since.IsZero() {
+		t.since = now
+	}
+	t.ended++
+	if !completed {
+		t.failures++
+	}
+	if now.Sub(t.since) < Interval || t.ended < leastSamples {
+		return
+	}
+	t.adjust(float64(t.failures) / float64(t.ended))
+	t.since, t.ended, t.failures = now, 0, 0
+}
+
+func (t *Throttle) adjust(failures float64) {
+	switch {
+	case failures > failuresHigh:
+		t.pass *= (1 - failures) * reserve
+	case failures < failuresLow:
+		t.pass = t.pass*growth + step
+	}
+	t.pass = min(max(t.pass, least), 1)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -197,7 +197,7 @@
 
 // admissionConfig returns the admission limits under a preset; before the first configuration arrives doc is nil.
 func (d *Daemon) admissionConfig(doc *config.Document) admission.Config {
-	cfg := admission.Config{Slots: d.slots()}
+	cfg := admission.Config{Slots: d.slots(), Announced: d.announced != nil}
 	if doc == nil {
 		return cfg
 	}
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -237,7 +237,8 @@
 func (d *dispatcher) answered(req *request, address string, took time.Duration, answer *transport.Answer, granted int,
 	report func(routing.Result)) attempt {
 	h := &answer.Header
-	r := routing.Result{Latency: took, Outcome: h.Outcome, Reason: h.Reason, Cutoff: h.Cutoff, Bytes: max(h.BodyLength, 0)}
+	r := routing.Result{Latency: took, Outcome: h.Outcome, Reason: h.Reason, Cutoff: h.Cutoff, Bytes: max(h.BodyLength, 0),
+		Load: float64(h.Load) / 100}
 	if h.Outcome != call.OutcomeAnswered {
 		answer.Body.Close()
 		req.account.Return(min(h.Unspent, granted))
--- a/internal/daemon/gate.go
+++ b/internal/daemon/gate.go
@@ -112,6 +112,12 @@
 	return g.ctrl.Load()
 }
 
+// loadPercent returns the running and waiting requests in percent of the limit.
+func (g *gate) loadPercent() int {
+	load := g.load()
+	return 100 * (load.InFlight + load.Waiting) / max(load.Limit, 1)
+}
+
 func (g *gate) setConfig(cfg admission.Config) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -18,6 +18,7 @@
 	"guavapoint.example/guavapoint/internal/core/config"
 	"guavapoint.example/guavapoint/internal/core/retry"
 	"guavapoint.example/guavapoint/internal/core/route"
+	"guavapoint.example/guavapoint/internal/core/throttle"
 	"guavapoint.example/guavapoint/internal/settings"
 	"guavapoint.example/guavapoint/internal/wire"
 	"guavapoint.example/guavapoint/platform"
@@ -62,12 +63,13 @@
 	*entry
 	service string // of this VM
 
-	mu  sync.Mutex
-	rng *rand.Rand
+	mu        sync.Mutex
+	rng       *rand.Rand
+	throttles map[string]*throttle.Throttle // by route
 }
 
 func newIngress(e *entry, service string, rng *rand.Rand) *ingress {
-	return &ingress{entry: e, service: service, rng: rng}
+	return &ingress{entry: e, service: service, rng: rng, throttles: make(map[string]*throttle.Throttle)}
 }
 
 func (i *ingress) random() float64 {
@@ -96,6 +98,11 @@
 
 func (i *ingress) serveRoute(w http.ResponseWriter, r *http.Request, found *route.Route, started time.Time) {
 	req := i.request(r, found, started)
+	if !i.allow(req) {
+		i.report.refused(call.ReasonOverload)
+		i.refuse(w, call.ReasonOverload)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
 	// A caller that sends its body too slowly must not hold the request past its deadline.
@@ -105,11 +112,55 @@
 	res.service = req.service
 	req.span.End(res.outcome, res.reason)
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	if r.Context().Err() == nil {
+		i.ended(req, completed(res))
+	}
 	i.write(w, res)
 	took := i.now().Sub(started)
 	i.report.called(req, res, took, took-req.waited)
 }
 
+// allow asks the route's throttle.
+func (i *ingress) allow(req *request) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.throttle(req.op.Name).Allow(req.rank.Class(), i.rng.Float64())
+}
+
+// ended tells the route's throttle how a request ended.
+func (i *ingress) ended(req *request, completed bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.throttle(req.op.Name).Done(i.now(), completed)
+}
+
+// throttle returns the throttle of a route. The configuration bounds the names. The caller holds the lock.
+func (i *ingress) throttle(name string) *throttle.Throttle {
+	t := i.throttles[name]
+	if t == nil {
+		t = throttle.New()
+		i.throttles[name] = t
+	}
+	return t
+}
+
+// completed reports whether a request ended as a whole one. An error of the backend server means in most cases that one
+// of the calls that it needed has failed.
+func completed(res *result) bool {
+	return res.outcome == call.OutcomeAnswered && res.status < http.StatusInternalServerError
+}
+
+// rankInterval is the time in which requests of one entry and class share a rank. A call of a backend server doesn't name
+// the request that it belongs to; with a common rank the calls that one request makes shortly after each other are
+// admitted or shed together.
+const rankInterval = 500 * time.Millisecond
+
+// rank returns the rank of a request.
+func (i *ingress) rank(class call.Class, at time.Time) call.Rank {
+	interval := at.UnixNano() / int64(rankInterval)
+	return call.NewRank(class, i.dispatch.self+"/"+strconv.FormatInt(interval, 10))
+}
+
 // request describes a request by its route.
 func (i *ingress) request(r *http.Request, found *route.Route, started time.Time) *request {
 	wait := found.Timeout
@@ -128,7 +179,7 @@
 		op:       config.Operation{Name: found.Name, Method: r.Method, Idempotent: found.Kind == route.Idempotent, Upload: found.Kind == route.Upload},
 		path:     r.URL.RequestURI(),
 		rootID:   id,
-		rank:     call.NewRank(found.Class(), id),
+		rank:     i.rank(found.Class(), started),
 		deadline: started.Add(wait),
 		account:  retry.NewAccount(found.MaxAttempts - 1),
 		routed:   true,
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -164,6 +164,7 @@
 		BodyLength: res.length,
 		Cutoff:     u.cutoff(v),
 		Config:     wireVersion(u.config),
+		Load:       u.gate.loadPercent(),
 	}
 	unspent := func() int { return drainAccount(v.account) }
 	if res.outcome != call.OutcomeAnswered {
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -77,6 +77,8 @@
 	// Unspent is the part of CallHeader.Retries that comes back. An answer with a body returns it in the Trailer.
 	Unspent int           `cbor:"7,keyasint,omitempty"`
 	Config  ConfigVersion `cbor:"8,keyasint"`
+	// Load is the upstream's running and waiting requests in percent of its limit.
+	Load int `cbor:"9,keyasint,omitempty"`
 }
 
 // Trailer ends the body of an answer. An answer without it is truncated.
