--- a/internal/core/announce/tracker.go
+++ b/internal/core/announce/tracker.go
@@ -131,6 +131,16 @@
 	}
 }
 
+// Discover takes a health check that an instance has passed before any heartbeat came, as after a restart of the daemon.
+// slots is what it is trusted with until its first heartbeat.
+func (t *Tracker) Discover(id string, slots int) {
+	if t.current != (Instance{}) || id == "" {
+		return
+	}
+	t.current = Instance{ID: id, Slots: slots}
+	t.open()
+}
+
 // Leave takes the notice that an instance leaves. A notice for another instance has no effect. It reports whether the
 // backend server is leaving now.
 func (t *Tracker) Leave(id string) bool {
--- a/internal/core/announce/tracker_test.go
+++ b/internal/core/announce/tracker_test.go
@@ -83,3 +83,22 @@
 		t.Fatalf("heartbeat of another service: %v", err)
 	}
 }
+
+// Guards against a restarted daemon that waits for a heartbeat although the backend server is known to take work, and
+// against a discovery that overrides what heartbeats have said.
+func TestDiscover(t *testing.T) {
+	tr := NewTracker("lookup")
+	tr.Discover("i-1", 3)
+	if now := tr.Current(); now.State != Ready || now.Slots != 3 {
+		t.Fatalf("after discovery: %+v", now)
+	}
+	_ = tr.Heartbeat(start, beat(7, 4, false))
+	if now := tr.Current(); now.State != Ready || now.Slots != 10 || now.Born != 7 {
+		t.Fatalf("after the first heartbeat: %+v", now)
+	}
+	tr.Leave("i-1")
+	tr.Discover("i-1", 3)
+	if tr.Current().State != Leaving {
+		t.Fatal("discovery revived a backend server that has left")
+	}
+}
--- a/internal/core/routing/choice.go
+++ b/internal/core/routing/choice.go
@@ -2,8 +2,13 @@
 
 import "math/rand/v2"
 
-// choices keeps two random upstreams of each tier with their scores, in one pass over the candidates.
-type choices [numTiers]pair
+// choices keeps two random upstreams with room of each tier with their scores, and the least loaded of those without, in
+// one pass over the candidates.
+type choices struct {
+	tiers [numTiers]pair
+	least *upstream
+	load  float64 // of least
+}
 
 type pair struct {
 	seen  int
@@ -14,19 +19,22 @@
 type scored struct {
 	*upstream
 	score float64
-	load  float64
 }
 
-// spillAt is the load of a tier's choice above which a farther tier is looked at. A nearer upstream answers sooner and
+// spillAt is the load above which an upstream of a tier is passed over while a farther one has room. A nearer upstream answers sooner and
 // costs no traffic between zones while it has free slots; one that is nearly full makes its requests wait. The link
 // between regions is slow and billed by volume, so it is used last.
 var spillAt = [numTiers]float64{tierZone: 0.7, tierRegion: 0.85, tierRemote: 0.95}
 
 // add is reservoir sampling with two places.
 func (cs *choices) add(u *upstream, score, load float64, rng *rand.Rand) {
-	p := &cs[u.tier]
+	if load > spillAt[u.tier] {
+		cs.addFull(u, load)
+		return
+	}
+	p := &cs.tiers[u.tier]
 	p.seen++
-	s := scored{u, score, load}
+	s := scored{u, score}
 	switch {
 	case p.seen == 1:
 		p.first = s
@@ -46,31 +54,26 @@
 	}
 }
 
-// best returns the better of the two in the nearest tier that has room, or the least loaded one where none has. It is nil
-// without any.
+func (cs *choices) addFull(u *upstream, load float64) {
+	if cs.least == nil || load < cs.load {
+		cs.least, cs.load = u, load
+	}
+}
+
+// best returns the better of the two in the nearest tier that has room, or the least loaded upstream where none has. It
+// is nil without any.
 func (cs *choices) best() *upstream {
-	var least *scored
-	for i := range cs {
-		if cs[i].seen == 0 {
-			continue
-		}
-		s := cs[i].better()
-		if s.load <= spillAt[i] {
-			return s.upstream
+	for i := range cs.tiers {
+		if p := &cs.tiers[i]; p.seen > 0 {
+			return p.better()
 		}
-		if least == nil || s.load < least.load {
-			least = s
-		}
-	}
-	if least == nil {
-		return nil
 	}
-	return least.upstream
+	return cs.least
 }
 
-func (p *pair) better() *scored {
+func (p *pair) better() *upstream {
 	if p.seen > 1 && p.other.score < p.first.score {
-		return &p.other
+		return p.other.upstream
 	}
-	return &p.first
+	return p.first.upstream
 }
--- a/internal/core/routing/picker.go
+++ b/internal/core/routing/picker.go
@@ -174,6 +174,9 @@
 	if r.Outcome == call.OutcomeNotRun && r.Reason == call.ReasonLeaving {
 		u.leavingUntil = now.Add(leavingTTL)
 	}
+	if r.Reason == call.ReasonTimeout {
+		u.recordLatency(now, r.Latency) // it would have taken longer
+	}
 	if r.Outcome == call.OutcomeAnswered {
 		u.recordLatency(now, r.Latency)
 		p.latency = average(p.latency, r.Latency.Seconds())
@@ -189,6 +192,7 @@
 func (p *Picker) choose(now time.Time, q Query) (choices, bool) {
 	var cs choices
 	present := false
+	fastest := p.fastest(now)
 	for _, u := range p.upstreams {
 		if !u.usable(now, q.Exclude) {
 			continue
@@ -197,7 +201,7 @@
 		if u.refuses(now, q.Rank) {
 			continue
 		}
-		cs.add(u, p.score(now, u), u.load(now), p.rng)
+		cs.add(u, p.score(now, u), p.load(now, u, fastest), p.rng)
 	}
 	return cs, present
 }
@@ -208,9 +212,10 @@
 		return nil
 	}
 	var cs choices
+	fastest := p.fastest(now)
 	for _, u := range p.upstreams {
 		if u.usable(now, q.Exclude) {
-			cs.add(u, p.score(now, u), u.load(now), p.rng)
+			cs.add(u, p.score(now, u), p.load(now, u, fastest), p.rng)
 		}
 	}
 	return cs.best()
@@ -229,3 +234,24 @@
 	slots := float64(max(u.Slots, 1))
 	return latency * float64(u.inFlight+1) / (slots * u.rampShare(now, p.cfg.Ramp))
 }
+
+// fastest returns the shortest recent latency of the upstreams in seconds, 0 while none is known.
+func (p *Picker) fastest(now time.Time) float64 {
+	least := 0.0
+	for _, u := range p.upstreams {
+		if l := u.recentLatency(now); l > 0 && (least == 0 || l < least) {
+			least = l
+		}
+	}
+	return least
+}
+
+// load returns the share of an upstream's limit that is taken. One that takes much longer than the fastest counts as
+// full: its slots are held for long, so the load alone shows that late.
+func (p *Picker) load(now time.Time, u *upstream, fastest float64) float64 {
+	load := u.load(now)
+	if fastest > 0 && u.recentLatency(now) > slowFactor*fastest+slowMargin {
+		return load + 1
+	}
+	return load
+}
--- /dev/null
+++ b/internal/core/routing/spill_test.go
@@ -0,0 +1,68 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+)
+
+// spillPicker knows one upstream in the own zone, one in the own region and one in another region, with 10 slots each.
+func spillPicker() *Picker {
+	p := NewPicker(Config{Zone: "z1", Region: "r1"}, rand.New(rand.NewPCG(1, 1)))
+	p.Update(start, []Candidate{
+		{Address: "near", Zone: "z1", Region: "r1", Slots: 10},
+		{Address: "region", Zone: "z2", Region: "r1", Slots: 10},
+		{Address: "remote", Zone: "z3", Region: "r2", Slots: 10},
+	})
+	return p
+}
+
+var start = time.Unix(1_800_000_000, 0)
+
+// counts picks n times and ends each call with the load and latency that its upstream reports.
+func counts(t *testing.T, p *Picker, n int, load map[string]float64, latency map[string]time.Duration) map[string]int {
+	t.Helper()
+	got := make(map[string]int)
+	now := start
+	for range n {
+		now = now.Add(10 * time.Millisecond)
+		c, err := p.Pick(now, Query{Rank: call.Lowest(call.ClassHigh)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got[c.Address]++
+		p.Done(now, c.Address, Result{Outcome: call.OutcomeAnswered, Latency: latency[c.Address], Load: load[c.Address]})
+	}
+	return got
+}
+
+// Guards against a service whose upstream in the own zone is full while others have free slots, and against traffic to
+// another region while the own one has room.
+func TestFullZoneSpillsToItsRegionFirst(t *testing.T) {
+	even := map[string]time.Duration{"near": 40 * time.Millisecond, "region": 40 * time.Millisecond, "remote": 100 * time.Millisecond}
+	got := counts(t, spillPicker(), 200, map[string]float64{"near": 0.5, "region": 0.5}, even)
+	if got["near"] != 200 {
+		t.Errorf("with room in the zone: %v", got)
+	}
+	got = counts(t, spillPicker(), 200, map[string]float64{"near": 1.5, "region": 0.5}, even)
+	if got["region"] < 150 || got["remote"] > 0 {
+		t.Errorf("with a full zone: %v", got)
+	}
+	got = counts(t, spillPicker(), 200, map[string]float64{"near": 1.5, "region": 1.5, "remote": 0.2}, even)
+	if got["remote"] < 100 {
+		t.Errorf("with a full region: %v", got)
+	}
+}
+
+// Guards against requests that wait for an upstream which has become many times slower than the others.
+func TestSlowUpstreamCountsAsFull(t *testing.T) {
+	slow := map[string]time.Duration{"near": 500 * time.Millisecond, "region": 40 * time.Millisecond}
+	p := spillPicker()
+	p.Done(start, "region", Result{Outcome: call.OutcomeAnswered, Latency: 40 * time.Millisecond, Load: 0.3})
+	got := counts(t, p, 200, map[string]float64{"near": 0.3, "region": 0.3}, slow)
+	if got["near"] > 60 {
+		t.Errorf("slow upstream: %v", got)
+	}
+}
--- a/internal/core/routing/upstream.go
+++ b/internal/core/routing/upstream.go
@@ -17,6 +17,10 @@
 	// loadMemory is the age at which a reported load counts no more. Requests take a few hundred milliseconds, so the load
 	// is another one after that.
 	loadMemory = time.Second
+	// slowFactor and slowMargin (in seconds) tell a slow upstream from the fastest one. Upstreams of one service differ by
+	// up to three times; the margin covers a round trip between regions.
+	slowFactor = 3
+	slowMargin = 0.1
 	// rampStart is the share of calls that a cold upstream begins with.
 	rampStart = 0.1
 )
--- a/internal/core/throttle/throttle.go
+++ b/internal/core/throttle/throttle.go
@@ -23,13 +23,13 @@
 	// failuresHigh is the share of failures above which less is let through, failuresLow the one below which more is.
 	failuresHigh = 0.2
 	failuresLow  = 0.1
-	// reserve lets through a little more than completed, so that a fall by chance isn't kept.
-	reserve = 1.1
-	// growth and step raise the fraction: from the least to all in about six intervals.
-	growth = 1.3
-	step   = 0.05
-	// least is the fraction that always passes, without which the end of an overload would not show.
-	least = 0.1
+	// fall bounds one reduction, since the failures of an interval also come from the time before the last change.
+	fall = 0.5
+	// growth and step raise the fraction: from the least to all in four intervals.
+	growth = 1.4
+	step   = 0.1
+	// least is the fraction that always passes, without which the end of an overload would not show soon.
+	least = 0.2
 	// HighestClass is the highest class that is throttled.
 	HighestClass = call.ClassNormal
 )
@@ -66,7 +66,11 @@
 	if !completed {
 		t.failures++
 	}
-	if now.Sub(t.since) < Interval || t.ended < leastSamples {
+	if now.Sub(t.since) < Interval {
+		return
+	}
+	// While little passes, waiting for more samples would hold back the recovery; failures are judged on enough of them.
+	if t.failures > 0 && t.ended < leastSamples {
 		return
 	}
 	t.adjust(float64(t.failures) / float64(t.ended))
@@ -76,7 +80,7 @@
 func (t *Throttle) adjust(failures float64) {
 	switch {
 	case failures > failuresHigh:
-		t.pass *= (1 - failures) * reserve
+		t.pass *= max(1-failures, fall)
 	case failures < failuresLow:
 		t.pass = t.pass*growth + step
 	}
--- a/internal/daemon/announced.go
+++ b/internal/daemon/announced.go
@@ -121,6 +121,22 @@
 	_ = d.announce(func(t *announce.Tracker) error { t.Proved(id); return nil }) // has no error
 }
 
+// discoveredSlots is what a backend server is trusted with until its first heartbeat, which comes within seconds. It is
+// below the slots of any backend server in use.
+const discoveredSlots = 16
+
+// discoverBackend asks, at the start of the daemon, whether a backend server already takes work. After a restart of the
+// daemon alone this saves the wait for the next heartbeat.
+func (d *Daemon) discoverBackend(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
+	defer cancel()
+	id, err := d.backend.health(ctx, platform.HealthPath)
+	if err != nil {
+		return // the backend server isn't up yet or is leaving; heartbeats tell
+	}
+	_ = d.announce(func(t *announce.Tracker) error { t.Discover(id, discoveredSlots); return nil }) // has no error
+}
+
 // announcedState returns the member state of an announced backend server.
 func (d *Daemon) announcedState() membership.State {
 	switch d.announced.current().State {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -73,6 +73,8 @@
 	d.tasks.Go(func() { d.members.run(ctx) })
 	if d.announced == nil {
 		d.tasks.Go(func() { d.watchBackend(ctx) })
+	} else {
+		d.tasks.Go(func() { d.discoverBackend(ctx) })
 	}
 	d.tasks.Go(func() { d.tick(ctx) })
 	d.tasks.Go(func() { d.runSync(ctx) })
