--- a/internal/core/routing/choice.go
+++ b/internal/core/routing/choice.go
@@ -2,12 +2,12 @@
 
 import "math/rand/v2"
 
-// choices keeps two random upstreams with room of each tier with their scores, and the least loaded of those without, in
-// one pass over the candidates.
+// choices keeps two random upstreams with room of each tier with their scores, and the one of those without where the wait is
+// shortest, in one pass over the candidates.
 type choices struct {
 	tiers [numTiers]pair
 	least *upstream
-	load  float64 // of least
+	wait  float64 // at least
 }
 
 type pair struct {
@@ -27,9 +27,9 @@
 var spillAt = [numTiers]float64{tierZone: 0.7, tierRegion: 0.85, tierRemote: 0.95}
 
 // add is reservoir sampling with two places.
-func (cs *choices) add(u *upstream, score, load float64, rng *rand.Rand) {
+func (cs *choices) add(u *upstream, score, load, wait float64, rng *rand.Rand) {
 	if load > spillAt[u.tier] {
-		cs.addFull(u, load)
+		cs.addFull(u, wait)
 		return
 	}
 	p := &cs.tiers[u.tier]
@@ -54,13 +54,13 @@
 	}
 }
 
-func (cs *choices) addFull(u *upstream, load float64) {
-	if cs.least == nil || load < cs.load {
-		cs.least, cs.load = u, load
+func (cs *choices) addFull(u *upstream, wait float64) {
+	if cs.least == nil || wait < cs.wait {
+		cs.least, cs.wait = u, wait
 	}
 }
 
-// best returns the better of the two in the nearest tier that has room, or the least loaded upstream where none has. It
+// best returns the better of the two in the nearest tier that has room, or the upstream with the shortest wait where none has. It
 // is nil without any.
 func (cs *choices) best() *upstream {
 	for i := range cs.tiers {
--- a/internal/core/routing/picker.go
+++ b/internal/core/routing/picker.go
@@ -201,7 +201,8 @@
 		if u.refuses(now, q.Rank) {
 			continue
 		}
-		cs.add(u, p.score(now, u), p.load(now, u, fastest), p.rng)
+		load := p.load(now, u, fastest)
+		cs.add(u, p.score(now, u), load, p.wait(now, u, load), p.rng)
 	}
 	return cs, present
 }
@@ -215,7 +216,8 @@
 	fastest := p.fastest(now)
 	for _, u := range p.upstreams {
 		if u.usable(now, q.Exclude) {
-			cs.add(u, p.score(now, u), p.load(now, u, fastest), p.rng)
+			load := p.load(now, u, fastest)
+			cs.add(u, p.score(now, u), load, p.wait(now, u, load), p.rng)
 		}
 	}
 	return cs.best()
@@ -227,10 +229,7 @@
 
 // score estimates the delay that a further call would meet, in seconds. Lower is better.
 func (p *Picker) score(now time.Time, u *upstream) float64 {
-	latency := u.recentLatency(now)
-	if latency == 0 {
-		latency = max(p.latency, minLatency)
-	}
+	latency := p.expectedLatency(now, u)
 	slots := float64(max(u.Slots, 1))
 	return latency * float64(u.inFlight+1) / (slots * u.rampShare(now, p.cfg.Ramp))
 }
@@ -255,3 +254,16 @@
 	}
 	return load
 }
+
+// expectedLatency returns an upstream's recent latency, or that of all while its own is unknown, in seconds.
+func (p *Picker) expectedLatency(now time.Time, u *upstream) float64 {
+	if latency := u.recentLatency(now); latency > 0 {
+		return latency
+	}
+	return max(p.latency, minLatency)
+}
+
+// wait estimates how long a request waits at a full upstream, in seconds.
+func (p *Picker) wait(now time.Time, u *upstream, load float64) float64 {
+	return p.expectedLatency(now, u) * load / u.rampShare(now, p.cfg.Ramp)
+}
--- /dev/null
+++ b/internal/daemon/ingress_test.go
@@ -0,0 +1,294 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/announce"
+	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/core/routing"
+	"guavapoint.example/guavapoint/internal/settings"
+	"guavapoint.example/guavapoint/internal/standin/kvstore"
+	"guavapoint.example/guavapoint/internal/store"
+	"guavapoint.example/guavapoint/platform"
+)
+
+const operatorConfig = `{"version":"r%d","routes":{
+ "read":{"host":"a.example","pathPrefix":"/read/","kind":"idempotent","timeout":"5s","targetLatency":"1s","priority":2,"service":"%s","maxAttempts":2},
+ "write":{"host":"a.example","pathPrefix":"/write/","kind":"non_idempotent","timeout":"5s","targetLatency":"1s","priority":0,"service":"lookup","maxAttempts":2}},
+ "services":{"lookup":{"healthPath":"/health"},"ledger":{"healthPath":"/health"}}}`
+
+// announcedBackend is a backend server that announces itself and answers as the platform's upstreams do.
+type announcedBackend struct {
+	*httptest.Server
+	id   string
+	runs atomic.Int64
+	// answer replaces the normal answer; nil for none.
+	answer func(w http.ResponseWriter, r *http.Request) bool
+}
+
+func newAnnouncedBackend(t *testing.T, id string) *announcedBackend {
+	b := &announcedBackend{id: id}
+	b.Server = httptest.NewServer(http.HandlerFunc(b.serve))
+	t.Cleanup(b.Close)
+	return b
+}
+
+func (b *announcedBackend) serve(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Instance-Id", b.id)
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	if r.URL.Path == "/health" {
+		return
+	}
+	if expected := r.Header.Get("X-Expected-Instance"); expected != b.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	b.runs.Add(1)
+	_, _ = io.Copy(io.Discard, r.Body)
+	if b.answer != nil && b.answer(w, r) {
+		return
+	}
+	w.Header().Set("X-Response-Signature", "sig")
+	fmt.Fprintf(w, "%s %s%s from %s for %s", r.Method, r.Host, r.URL.RequestURI(), r.Header.Get("X-Caller-Service"), r.Header.Get("X-Timeout-Ms"))
+}
+
+// withOperator gives the site a store with the operator's configuration.
+func (s *site) withOperator() *platform.Client {
+	s.t.Helper()
+	server := httptest.NewServer(kvstore.New(time.Now, kvstore.Limits{}))
+	s.t.Cleanup(server.Close)
+	s.t.Cleanup(server.CloseClientConnections)
+	s.platform = server.URL
+	client, err := platform.NewClient([]string{server.URL}, nil, 0)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.configure(client, 1, "lookup")
+	return client
+}
+
+// configure writes a version of the operator's configuration, in which reads go to a service.
+func (s *site) configure(client *platform.Client, version int, reads string) {
+	s.t.Helper()
+	kv, err := client.Get(s.t.Context(), platform.ConfigKey)
+	if err != nil && version > 1 {
+		s.t.Fatal(err)
+	}
+	if version == 1 {
+		kv = store.KV{}
+	}
+	if _, err := client.CompareAndSwap(s.t.Context(), platform.ConfigKey, kv.Revision, fmt.Appendf(nil, operatorConfig, version, reads), 0); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// addAnnounced starts a daemon with an ingress beside a backend server that announces itself.
+func (s *site) addAnnounced(service string, b *announcedBackend) *node {
+	s.t.Helper()
+	n := s.run(&settings.Settings{
+		Name: service + b.id, Service: service, Region: "r", Zone: "z",
+		PeerAddress:  freeAddress(s.t, "udp"),
+		CallAddress:  freeAddress(s.t, "tcp"),
+		AdminAddress: freeAddress(s.t, "tcp"),
+		Ingress: &settings.Ingress{Address: freeAddress(s.t, "tcp"), ReadyAddress: freeAddress(s.t, "tcp"),
+			AnnounceAddress: freeAddress(s.t, "tcp")},
+		Backend:    settings.Backend{URL: b.URL, Announced: true},
+		Platform:   settings.Platform{URLs: []string{s.platform}},
+		Bounds:     settings.Bounds{RetryRatio: 0.2, RetrySlack: 48, RetryWindow: 10 * time.Second},
+		DrainLimit: s.drain,
+	}, b.Server)
+	return n
+}
+
+// heartbeat announces a backend server and returns the status of the acknowledgement.
+func (n *node) heartbeat(t *testing.T, id string, seq int, state string) int {
+	t.Helper()
+	body := fmt.Sprintf(`{"service":%q,"address":"x","zone":"z","slots":8,"state":%q,"coldRemaining":"0ms","seq":%d,"born":5}`,
+		n.settings.Service, state, seq)
+	return n.toAnnounce(t, http.MethodPut, id, body)
+}
+
+func (n *node) toAnnounce(t *testing.T, method, id, body string) int {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+n.settings.Ingress.AnnounceAddress+"/instances/"+id, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// request sends a request of a caller to the ingress.
+func (n *node) request(t *testing.T, method, path string) reply {
+	t.Helper()
+	req, err := http.NewRequest(method, "http://"+n.settings.Ingress.Address+path, http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "a.example"
+	req.Header.Set("X-Request-Id", randomID())
+	req.Header.Set("X-Timeout-Ms", "4000")
+	req.Header.Set("X-Caller-Service", "forged")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, _ := readReply(resp)
+	return got
+}
+
+func (n *node) isReady() bool {
+	resp, err := http.Get("http://" + n.settings.Ingress.ReadyAddress + "/ready")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Guards against a path on which a request is changed, loses its caller's name or time, or reaches no upstream, and
+// against a configuration that isn't followed.
+func TestIngressServesRoutes(t *testing.T) {
+	s := newSite(t)
+	client := s.withOperator()
+	first, second := newAnnouncedBackend(t, "i-1"), newAnnouncedBackend(t, "i-2")
+	a, b := s.addAnnounced("lookup", first), s.addAnnounced("ledger", second)
+	waitUntil(t, "the daemons are ready", func() bool { return a.isReady() && b.isReady() })
+	for _, n := range []*node{a, b} {
+		if status := n.heartbeat(t, map[*node]string{a: "i-1", b: "i-2"}[n], 1, "ready"); status != http.StatusOK {
+			t.Fatalf("heartbeat: %d", status)
+		}
+	}
+	s.ready()
+	got := b.request(t, http.MethodGet, "/read/x%2Fy?q=1")
+	if got.status != http.StatusOK || !strings.HasPrefix(got.body, "GET a.example/read/x%2Fy?q=1 from ledger for ") {
+		t.Fatalf("read: %d %q", got.status, got.body)
+	}
+	left, err := strconv.Atoi(got.body[strings.LastIndex(got.body, " ")+1:])
+	if err != nil || left > 4000 || left < 1 {
+		t.Errorf("time left %q", got.body)
+	}
+	if got := b.request(t, http.MethodPost, "/write/x"); got.status != http.StatusOK || got.header.Get("X-Response-Signature") != "sig" {
+		t.Errorf("write: %d %q", got.status, got.body)
+	}
+	if got := b.request(t, http.MethodGet, "/none/x"); got.status != http.StatusNotFound {
+		t.Errorf("no route: %d", got.status)
+	}
+	s.configure(client, 2, "ledger")
+	waitUntil(t, "reads go to the other service", func() bool {
+		before := second.runs.Load()
+		a.request(t, http.MethodGet, "/read/x")
+		return second.runs.Load() > before
+	})
+}
+
+// Guards against work for a backend server that has announced to leave, by a heartbeat or by the notice alone, and
+// against a caller that isn't told when to come back.
+func TestLeavingBackendGetsNoWork(t *testing.T) {
+	for _, method := range []string{http.MethodPut, http.MethodDelete} {
+		t.Run(method, func(t *testing.T) {
+			s := newSite(t)
+			s.withOperator()
+			b := newAnnouncedBackend(t, "i-1")
+			n := s.addAnnounced("lookup", b)
+			waitUntil(t, "the daemon is ready", n.isReady)
+			n.heartbeat(t, "i-1", 1, "ready")
+			waitUntil(t, "the daemon serves", func() bool { return n.request(t, http.MethodGet, "/read/x").status == http.StatusOK })
+			if method == http.MethodPut {
+				n.heartbeat(t, "i-1", 2, "draining")
+			} else {
+				n.toAnnounce(t, http.MethodDelete, "i-1", "")
+			}
+			runs := b.runs.Load()
+			n.heartbeat(t, "i-1", 3, "ready")
+			got := n.request(t, http.MethodGet, "/read/x")
+			if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || b.runs.Load() != runs {
+				t.Errorf("%d with Retry-After %q, %d more runs", got.status, got.header.Get("Retry-After"), b.runs.Load()-runs)
+			}
+		})
+	}
+}
+
+// Guards against heartbeats of other writers that change what is known, and against an end of the daemon by them.
+func TestForeignHeartbeatsAreRejected(t *testing.T) {
+	s := newSite(t)
+	s.withOperator()
+	n := s.addAnnounced("lookup", newAnnouncedBackend(t, "i-1"))
+	waitUntil(t, "the daemon is ready", n.isReady)
+	waitUntil(t, "the backend server was discovered", func() bool { return n.announced.current().State == announce.Ready })
+	for _, body := range []string{"", "{", `{"service":"lookup"}`, `{"service":"other","address":"x","slots":3,"state":"ready","seq":9}`,
+		`{"service":"lookup","address":"x","slots":"three","state":"ready","seq":9}`, `{"service":"lookup","address":"x","slots":3,"state":"odd","seq":9}`} {
+		if status := n.toAnnounce(t, http.MethodPut, "i-9", body); status != http.StatusBadRequest {
+			t.Errorf("%q: status %d", body, status)
+		}
+	}
+	if now := n.announced.current(); now.ID != "i-1" || now.State != announce.Ready {
+		t.Errorf("known is %+v", now)
+	}
+}
+
+// Guards against a success that isn't the backend server's own answer to this request.
+func TestUnsignedAnswersAreNotPassedOn(t *testing.T) {
+	s := newSite(t)
+	s.withOperator()
+	b := newAnnouncedBackend(t, "i-1")
+	b.answer = func(w http.ResponseWriter, _ *http.Request) bool {
+		fmt.Fprint(w, "no signature")
+		return true
+	}
+	n := s.addAnnounced("lookup", b)
+	waitUntil(t, "the daemon is ready", n.isReady)
+	n.heartbeat(t, "i-1", 1, "ready")
+	waitUntil(t, "a request was run", func() bool {
+		got := n.request(t, http.MethodPost, "/write/x")
+		if got.status == http.StatusOK {
+			t.Fatalf("an unsigned answer was passed on: %q", got.body)
+		}
+		return b.runs.Load() > 0
+	})
+	runs := b.runs.Load()
+	if got := n.request(t, http.MethodPost, "/write/x"); got.status != http.StatusBadGateway || b.runs.Load() != runs+1 {
+		t.Errorf("status %d, %d runs of a non-idempotent request", got.status, b.runs.Load()-runs)
+	}
+}
+
+// Guards against a request that is refused with "not run" and runs later: the question for the outcome of a minted token
+// that has not arrived makes it invalid.
+func TestMintedTokenThatWasAskedForNeverRuns(t *testing.T) {
+	s := newSite(t)
+	s.withOperator()
+	b := newAnnouncedBackend(t, "i-1")
+	n := s.addAnnounced("lookup", b)
+	waitUntil(t, "the daemon is ready", n.isReady)
+	n.heartbeat(t, "i-1", 1, "ready")
+	waitUntil(t, "the daemon serves", func() bool { return n.request(t, http.MethodGet, "/read/x").status == http.StatusOK })
+	d := n.entry.dispatch
+	_, doc := n.config.Current()
+	found := doc.Match("a.example", "/write/x")
+	req := newIngress(n.entry, "lookup", newRand()).request(httptest.NewRequest(http.MethodPost, "/write/x", http.NoBody), found, n.now())
+	req.span = d.report.telemetry.StartSpan("entry", "", "lookup", req.rank.Class())
+	target := routing.Candidate{Address: n.settings.PeerAddress, Incarnation: n.incarnation}
+	mint(n.now(), req, target)
+	if a := d.settle(req, attempt{result: unknown(call.ReasonConnectionLost)}); a.outcome != call.OutcomeNotRun {
+		t.Fatalf("outcome %v %v", a.outcome, a.reason)
+	}
+	body, _ := newRequestBody(strings.NewReader(""), 0)
+	runs := b.runs.Load()
+	a := d.send(context.Background(), req, target, nil, body, func(routing.Result) {})
+	if a.outcome != call.OutcomeNotRun || b.runs.Load() != runs {
+		t.Errorf("the late request had outcome %v, %d runs", a.outcome, b.runs.Load()-runs)
+	}
+}
--- /dev/null
+++ b/internal/loopback/pool_test.go
@@ -0,0 +1,209 @@
+package loopback
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// answerer writes the bytes that a faulty backend server sends for the nth request of a connection.
+type answerer func(n int, id string) string
+
+// serve runs a backend server that answers with scripted bytes. It returns its address and the number of requests that
+// it has read on each connection.
+func serve(t *testing.T, answer answerer) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveConn(c, answer)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func serveConn(c net.Conn, answer answerer) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for n := 1; ; n++ {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		text := answer(n, req.Header.Get("X-Id"))
+		if text == "" {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(c, text)
+	}
+}
+
+func response(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// send returns the body of the answer to a request with an id.
+func send(p *Pool, id string) (string, error) {
+	req, err := http.NewRequest(http.MethodGet, "http://backend/x", http.NoBody)
+	if err != nil {
+		return "", err
+	}
+	req.Header.Set("X-Id", id)
+	resp, err := p.Do(context.Background(), req, func(h http.Header) bool { return h.Get("X-Id") == id })
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// Guards against an answer that reaches the caller of another request: a second answer comes together with the first, or
+// where the next one is expected.
+func TestSecondAnswersReachNobody(t *testing.T) {
+	for name, answer := range map[string]answerer{
+		"together": func(_ int, id string) string { return response(id, "own "+id) + response(id, "again") },
+		"late": func(n int, id string) string {
+			if n == 1 {
+				return response(id, "own "+id)
+			}
+			return response("stale", "again") + response(id, "own "+id)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := New(serve(t, answer), time.Now)
+			for i := range 5 {
+				id := fmt.Sprint("r", i)
+				if body, err := send(p, id); err != nil || body != "own "+id {
+					t.Fatalf("request %s got %q, %v", id, body, err)
+				}
+			}
+		})
+	}
+}
+
+// Guards against an answer that breaks off and looks complete, and against bytes that are no answer.
+func TestBrokenAnswersAreErrors(t *testing.T) {
+	for name, answer := range map[string]answerer{
+		"cut":     func(_ int, id string) string { return strings.TrimSuffix(response(id, "0123456789"), "9") },
+		"no HTTP": func(int, string) string { return "\x00\x01 garbage\r\n\r\n" },
+		"closed":  func(int, string) string { return "" },
+		"foreign": func(int, string) string { return response("other", "body") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			once := func(n int, id string) string {
+				if n > 1 {
+					return ""
+				}
+				return answer(n, id)
+			}
+			l := serve(t, func(n int, id string) string { return once(n, id) })
+			p := New(l, time.Now)
+			done := make(chan error, 1)
+			go func() {
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				req, _ := http.NewRequest(http.MethodGet, "http://backend/x", http.NoBody)
+				req.Header.Set("X-Id", "a")
+				req.Header.Set("Connection", "close")
+				resp, err := p.Do(ctx, req, func(h http.Header) bool { return h.Get("X-Id") == "a" })
+				if err == nil {
+					if name == "cut" {
+						cancel() // the backend server keeps the connection open; the caller's deadline ends the wait
+					}
+					_, err = io.ReadAll(resp.Body)
+					resp.Body.Close()
+				}
+				done <- err
+			}()
+			if err := <-done; err == nil {
+				t.Fatal("a broken answer was taken for complete")
+			}
+		})
+	}
+}
+
+// Guards against a request that is sent twice by itself when a kept connection turns out to be closed, and against a
+// refused connection that is reported as a request that may have run.
+func TestErrorsTellWhetherTheRequestWasSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	if _, err := send(New(address, time.Now), "a"); !errors.Is(err, ErrNotSent) {
+		t.Fatalf("closed port: %v", err)
+	}
+	requests := make(chan string, 10)
+	p := New(serve(t, func(n int, id string) string {
+		requests <- id
+		if n == 2 {
+			return "" // read, and closed without an answer
+		}
+		return response(id, "body")
+	}), time.Now)
+	if _, err := send(p, "a"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := send(p, "b"); !errors.Is(err, ErrLost) {
+		t.Fatalf("closed after the request was read: %v", err)
+	}
+	if len(requests) != 2 {
+		t.Fatalf("%d requests arrived, want 2", len(requests))
+	}
+}
+
+// Guards against other bytes in the place of the rest of a body: the backend server answers before it has read a long
+// body and keeps the connection, which then must not carry another request.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r := bufio.NewReader(c)
+				if _, err := http.ReadRequest(r); err == nil {
+					_, _ = io.WriteString(c, response("a", "rejected"))
+				}
+			}()
+		}
+	}()
+	p := New(l.Addr().String(), time.Now)
+	for n := 1; n <= 2; n++ {
+		body := strings.NewReader(strings.Repeat("x", 32<<20))
+		req, _ := http.NewRequest(http.MethodPost, "http://backend/x", body)
+		resp, err := p.Do(context.Background(), req, func(http.Header) bool { return true })
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if p.Opened() != n {
+			t.Fatalf("%d connections after %d requests", p.Opened(), n)
+		}
+	}
+}
