Close the ingress in time before a stop; prefer callers that come back

The ingress closes 2.8 s after the signal now, and the rest of the grace time is for requests that were read by then. The backend server goes on taking work for the first 1.3 s.

Ruled out: a request that the limit cut after a long run; it had run for 0.2 s.

--- a/internal/core/call/outcome.go
+++ b/internal/core/call/outcome.go
@@ -50,6 +50,7 @@
 	ReasonDepth          Reason = "depth"            // the call chain is deeper than MaxDepth
 	ReasonCanceled       Reason = "canceled"         // the caller went away before the request was dispatched
 	ReasonParentGone     Reason = "parent-gone"      // the request that a child call belongs to isn't running any more
+	ReasonThrottled      Reason = "throttled"        // most requests of the route fail deep down, and this one was not started
 	ReasonBackendRefused Reason = "backend-refused"  // the connection to the backend server could not be opened
 )
 
--- a/internal/core/routing/choice.go
+++ b/internal/core/routing/choice.go
@@ -24,7 +24,7 @@
 // spillAt is the load above which an upstream of a tier is passed over while a farther one has room. A nearer upstream answers sooner and
 // costs no traffic between zones while it has free slots; one that is nearly full makes its requests wait. The link
 // between regions is slow and billed by volume, so it is used last.
-var spillAt = [numTiers]float64{tierZone: 0.7, tierRegion: 0.85, tierRemote: 0.95}
+var spillAt = [numTiers]float64{tierZone: 0.8, tierRegion: 0.95, tierRemote: 0.95}
 
 // add is reservoir sampling with two places.
 func (cs *choices) add(u *upstream, score, load, wait float64, rng *rand.Rand) {
--- a/internal/core/throttle/throttle.go
+++ b/internal/core/throttle/throttle.go
@@ -30,6 +30,9 @@
 	step   = 0.1
 	// least is the fraction that always passes, without which the end of an overload would not show soon.
 	least = 0.2
+	// returnedShare scales the chance of a refusal for callers that come back. They are at most as many as were refused,
+	// so that with all of them admitted little more passes than the fraction allows.
+	returnedShare = 0.4
 	// HighestClass is the highest class that is throttled.
 	HighestClass = call.ClassNormal
 )
@@ -37,6 +40,7 @@
 // Throttle holds the fraction for one route. It is not safe for concurrent use.
 type Throttle struct {
 	pass     float64
+	longest  time.Duration // wait of any caller of the route, which is that of its first attempts
 	since    time.Time
 	ended    int
 	failures int
@@ -47,8 +51,13 @@
 	return &Throttle{pass: 1}
 }
 
-// Allow decides on a request. u is uniform in [0, 1).
-func (t *Throttle) Allow(class call.Class, u float64) bool {
+// Allow decides on a request whose caller waits for wait. u is uniform in [0, 1). A caller that comes back after a refusal
+// has less time left than one that comes first; it is preferred, since another refusal is its last.
+func (t *Throttle) Allow(class call.Class, wait time.Duration, u float64) bool {
+	t.longest = max(t.longest, wait)
+	if wait < t.longest*3/4 {
+		u *= returnedShare
+	}
 	return class > HighestClass || u < t.pass
 }
 
--- a/internal/core/throttle/throttle_test.go
+++ b/internal/core/throttle/throttle_test.go
@@ -33,7 +33,7 @@
 		passed = 0
 		for range demand {
 			now = now.Add(Interval / time.Duration(demand))
-			if throttled && !t.Allow(call.ClassNormal, rng.Float64()) {
+			if throttled && !t.Allow(call.ClassNormal, time.Second, rng.Float64()) {
 				continue
 			}
 			passed++
@@ -69,7 +69,7 @@
 			if th.Pass() < least || th.Pass() > 1 {
 				t.Fatalf("fraction %v", th.Pass())
 			}
-			if !th.Allow(call.ClassHigh, 0.9999) {
+			if !th.Allow(call.ClassHigh, time.Second, 0.9999) {
 				t.Fatal("an important request was refused")
 			}
 		}
@@ -86,3 +86,26 @@
 		}
 	})
 }
+
+// Guards against a second refusal of callers that come back while first attempts pass.
+func TestReturningCallersAreAdmittedFirst(t *testing.T) {
+	th := New()
+	now := time.Unix(1_800_000_000, 0)
+	for range 3 * leastSamples {
+		now = now.Add(Interval / leastSamples)
+		th.Done(now, false)
+	}
+	admitted := func(wait time.Duration) int {
+		n := 0
+		for i := range 1000 {
+			if th.Allow(call.ClassNormal, wait, float64(i)/1000) {
+				n++
+			}
+		}
+		return n
+	}
+	first, returned := admitted(5*time.Second), admitted(3*time.Second)
+	if first >= 1000 || returned < 2*first {
+		t.Errorf("%d of 1000 first attempts admitted, %d of those that come back", first, returned)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -59,6 +59,7 @@
 	relay     *control.Relay         // nil without a platform
 	preset    atomic.Pointer[string] // name of the active preset
 	up        atomic.Bool            // the backend server accepts connections
+	stopping  atomic.Bool            // a graceful shutdown was asked for
 
 	ready chan struct{} // closed when peers can be served
 	tasks sync.WaitGroup
@@ -78,7 +79,7 @@
 		now:         time.Now,
 		ready:       make(chan struct{}),
 		config:      config.NewHolder(),
-		drain:       newDrainState(s.DrainLimit, leaveNoticeOf(s)),
+		drain:       newDrainState(drainTimes(s)),
 		link:        routing.NewLink(routing.LinkConfig{}),
 	}
 	d.buildDecisions(base)
--- a/internal/daemon/drainstate.go
+++ b/internal/daemon/drainstate.go
@@ -13,16 +13,20 @@
 // regions take 30 ms.
 const leaveNotice = 200 * time.Millisecond
 
-// ingressNotice is leaveNotice for a daemon with an ingress: the readiness check asks once a second, and its callers go
-// elsewhere after the second refusal. Half a second is left for requests that are on their way then.
-const ingressNotice = 2500 * time.Millisecond
+// Stop of a daemon with an ingress. The readiness check asks once a second, and callers go elsewhere after the second
+// refusal. Until readyNotice has passed the backend server goes on taking work, since it serves nobody while its daemon
+// is away. ingressNotice later the ingress closes; requests that it has read by then are served.
+const (
+	readyNotice   = 1300 * time.Millisecond
+	ingressNotice = 1500 * time.Millisecond
+)
 
-// leaveNoticeOf returns the shortest drain under the settings.
-func leaveNoticeOf(s *settings.Settings) time.Duration {
+// drainTimes returns the longest and the shortest drain under the settings.
+func drainTimes(s *settings.Settings) (limit, notice time.Duration) {
 	if s.Ingress != nil {
-		return ingressNotice
+		return max(s.DrainLimit-readyNotice, 0), ingressNotice
 	}
-	return leaveNotice
+	return s.DrainLimit, leaveNotice
 }
 
 // drainState is a drain.Machine that is safe for concurrent use.
@@ -84,6 +88,13 @@
 	return d.machine.Phase() != drain.Open
 }
 
+// noticePassed reports whether the drain has begun and all that come late have had their answer.
+func (d *drainState) noticePassed(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.machine.Phase() != drain.Open && now.Sub(d.since) >= d.notice
+}
+
 // done reports whether the daemon can exit.
 func (d *drainState) done(now time.Time) bool {
 	d.mu.Lock()
--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -28,6 +28,8 @@
 const (
 	// retryAfterOverload lets a few running requests end; half of it is random, so that the callers don't return together.
 	retryAfterOverload = 600 * time.Millisecond
+	// retryAfterThrottled is about the time in which a throttle opens again after the end of an overload.
+	retryAfterThrottled = 1600 * time.Millisecond
 	// retryAfterChange covers the time in which the daemons learn of an upstream that has left or joined.
 	retryAfterChange = 300 * time.Millisecond
 )
@@ -99,8 +101,8 @@
 func (i *ingress) serveRoute(w http.ResponseWriter, r *http.Request, found *route.Route, started time.Time) {
 	req := i.request(r, found, started)
 	if !i.allow(req) {
-		i.report.refused(call.ReasonOverload)
-		i.refuse(w, call.ReasonOverload)
+		i.report.refused(call.ReasonThrottled)
+		i.refuse(w, call.ReasonThrottled)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
@@ -124,7 +126,7 @@
 func (i *ingress) allow(req *request) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.throttle(req.op.Name).Allow(req.rank.Class(), i.rng.Float64())
+	return i.throttle(req.op.Name).Allow(req.rank.Class(), req.asked, i.rng.Float64())
 }
 
 // ended tells the route's throttle how a request ended.
@@ -164,7 +166,8 @@
 // request describes a request by its route.
 func (i *ingress) request(r *http.Request, found *route.Route, started time.Time) *request {
 	wait := found.Timeout
-	if asked, ok := platform.Timeout(r.Header); ok && (wait == 0 || asked < wait) {
+	asked, ok := platform.Timeout(r.Header)
+	if ok && (wait == 0 || asked < wait) {
 		wait = asked
 	}
 	if wait == 0 {
@@ -183,6 +186,7 @@
 		deadline: started.Add(wait),
 		account:  retry.NewAccount(found.MaxAttempts - 1),
 		routed:   true,
+		asked:    asked,
 	}
 }
 
@@ -223,6 +227,8 @@
 	switch reason {
 	case call.ReasonLeaving, call.ReasonNoUpstream, call.ReasonUnreachable, call.ReasonWrongUpstream:
 		return retryAfterChange
+	case call.ReasonThrottled:
+		return retryAfterThrottled/2 + time.Duration(i.random()*float64(retryAfterThrottled)/2)
 	default:
 		return retryAfterOverload/2 + time.Duration(i.random()*float64(retryAfterOverload)/2)
 	}
@@ -261,7 +267,7 @@
 )
 
 func (d *Daemon) readiness() error {
-	if d.drain.draining() {
+	if d.stopping.Load() || d.drain.draining() {
 		return errDraining
 	}
 	if _, doc := d.config.Current(); doc == nil {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -43,7 +43,7 @@
 	d.log.Log(events.DaemonServing, d.now().Sub(started).String())
 	stopDrain := context.AfterFunc(ctx, d.Drain)
 	defer stopDrain()
-	cut := d.awaitDrain()
+	cut := d.awaitDrain(servers[closesFirst:])
 	return d.close(servers, cut)
 }
 
@@ -135,21 +135,39 @@
 	}
 }
 
-// Drain starts a graceful shutdown. New work is refused at once, whether or not the others have heard.
+// Drain starts a graceful shutdown. Without an ingress, new work is refused at once, whether or not the others have heard.
 func (d *Daemon) Drain() {
-	if d.drain.draining() {
+	if !d.stopping.CompareAndSwap(false, true) {
 		return
 	}
+	if d.settings.Ingress == nil {
+		d.beginDrain()
+		return
+	}
+	time.AfterFunc(readyNotice, d.beginDrain)
+}
+
+// beginDrain refuses new work for the backend server from now on.
+func (d *Daemon) beginDrain() {
 	d.drain.begin(d.now())
 	d.members.setState(membership.StateLeaving)
 	d.log.Log(events.DrainBegun, nil, d.drain.inFlight(), d.settings.DrainLimit.String())
 }
 
-// awaitDrain waits until the daemon may exit, and returns the number of requests that the limit cut off.
-func (d *Daemon) awaitDrain() int {
+// closesFirst is the index of the first server of the ingress in the list of servers.
+const closesFirst = 2
+
+// awaitDrain waits until the daemon may exit, and returns the number of requests that the limit cut off. The ingress, if
+// there is one, takes no new requests once the notice has passed.
+func (d *Daemon) awaitDrain(ingress []*http.Server) int {
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
 	for range ticker.C {
+		if len(ingress) > 0 && d.drain.noticePassed(d.now()) {
+			calls := ingress[0]
+			d.tasks.Go(func() { _ = calls.Shutdown(context.Background()) }) // close ends what is left
+			ingress = nil
+		}
 		if d.drain.done(d.now()) {
 			return d.drain.inFlight()
 		}
