Log the decision on each request that is not served, without blocking

On-call engineers have only logs: four events (4015 to 4018) carry the request's id on every daemon, the inputs of the decision and the configuration's revision, at most 20 lines a second each, with a count of what was left out. Log lines go through a queue, so that a reader that stops holds up no request (TestWriterNeverBlocks).

--- a/internal/cli/explain_test.go
+++ b/internal/cli/explain_test.go
@@ -83,6 +83,7 @@
 	unknown := map[call.Reason]bool{
 		call.ReasonConnectionLost: true, call.ReasonTimeout: true, call.ReasonIncarnationGone: true, call.ReasonAnswerNotKept: true,
 		call.ReasonStillRunning: true, call.ReasonBackendCrashed: true, call.ReasonTruncated: true,
+		call.ReasonAnswerMismatch: true,
 	}
 	byEntry := map[call.Reason]bool{
 		call.ReasonOverload: true, call.ReasonLeaving: true, call.ReasonNoUpstream: true, call.ReasonDepth: true,
--- a/internal/cli/operations_test.go
+++ b/internal/cli/operations_test.go
@@ -11,9 +11,9 @@
 	"github.com/urfave/cli/v3"
 )
 
-// Guards against a command in docs/operations.md that the program doesn't have or whose flags it rejects.
+// Guards against a command in docs/OPERATIONS.md that the program doesn't have or whose flags it rejects.
 func TestOperationsPageCommands(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/cli/reasons.go
+++ b/internal/cli/reasons.go
@@ -86,8 +86,16 @@
 		ranNotNow, "Check that the backend server copies Guavapoint-Context from the request that it is serving, calls its own daemon, and makes no calls after it has responded.",
 	},
 	call.ReasonBackendRefused: {
-		"The upstream's daemon could not open a connection to its backend server.",
-		ranNo, "Check that the backend server runs and that backend.url in the daemon's settings names it.",
+		"The upstream's daemon could not open a connection to its backend server, or the backend server stated that it did not run the request.",
+		ranNo, "Check that the backend server runs, that backend.url in the daemon's settings names it, and whether it sheds load itself.",
+	},
+	call.ReasonThrottled: {
+		"Most requests of the route fail deep in the call graph at present, so the entry starts only a part of them.",
+		ranNo, "Wait for the time in Retry-After. Operators: find the service that sheds (event 4001) and add capacity there.",
+	},
+	call.ReasonAnswerMismatch: {
+		"The backend server's answer has no signature, belongs to another request, or is encoded.",
+		ranMaybe, "Look for event 5010 at the upstream's daemon, and at the backend server.",
 	},
 	call.ReasonConnectionLost: {
 		"The connection broke after the request was sent.",
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -169,6 +169,7 @@
 		report(routing.Result{Outcome: call.OutcomeNotRun, Reason: call.ReasonCanceled})
 		return attempt{result: notRun(call.ReasonCanceled)}
 	}
+	req.attempts++
 	started := d.now()
 	granted := req.account.Grant()
 	header := d.header(req, target.Incarnation, fields, body)
--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -19,6 +19,7 @@
 	"guavapoint.example/guavapoint/internal/core/retry"
 	"guavapoint.example/guavapoint/internal/core/route"
 	"guavapoint.example/guavapoint/internal/core/throttle"
+	"guavapoint.example/guavapoint/internal/events"
 	"guavapoint.example/guavapoint/internal/settings"
 	"guavapoint.example/guavapoint/internal/wire"
 	"guavapoint.example/guavapoint/platform"
@@ -101,8 +102,9 @@
 func (i *ingress) serveRoute(w http.ResponseWriter, r *http.Request, found *route.Route, started time.Time) {
 	req := i.request(r, found, started)
 	if !i.allow(req) {
-		i.report.refused(call.ReasonThrottled)
 		i.refuse(w, call.ReasonThrottled)
+		i.report.refused(call.ReasonThrottled)
+		i.logEnd(req, notRun(call.ReasonThrottled), 0)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
@@ -120,6 +122,27 @@
 	i.write(w, res)
 	took := i.now().Sub(started)
 	i.report.called(req, res, took, took-req.waited)
+	i.logEnd(req, res, took)
+}
+
+// logEnd writes the line of a request that was not served.
+func (i *ingress) logEnd(req *request, res *result, took time.Duration) {
+	v, _ := i.config.Current()
+	switch {
+	case res.outcome == call.OutcomeNotRun:
+		i.report.log.Log(events.RequestRefused, req.rootID, req.op.Name, req.service, req.rank.Class().String(), string(res.reason),
+			i.passing(req.op.Name), req.attempts, v.Revision, took.String())
+	case !completed(res):
+		i.report.log.Log(events.RequestFailed, req.rootID, req.op.Name, req.service, req.rank.Class().String(), res.upstream,
+			res.outcome.String(), string(res.reason), res.status, req.attempts, v.Revision, took.String())
+	}
+}
+
+// passing returns the fraction of a route's requests that its throttle lets through.
+func (i *ingress) passing(name string) float64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.throttle(name).Pass()
 }
 
 // allow asks the route's throttle.
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -38,7 +38,9 @@
 // Main runs a daemon with the given settings until ctx ends and the drain is over. It writes its log to w.
 func Main(ctx context.Context, s *settings.Settings, w io.Writer) error {
 	tuneGC()
-	log, err := events.New(w, s.Log.Level, map[string]any{
+	lines := events.NewWriter(w)
+	defer lines.Close()
+	log, err := events.New(lines, s.Log.Level, map[string]any{
 		"daemon": s.Name, "service": s.Service, "zone": s.Zone, "region": s.Region,
 	})
 	if err != nil {
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -55,7 +55,9 @@
 	waited   time.Duration // for upstreams and in backoffs
 	// routed marks a request that came by a route. Its caller holds no token; the entry binds it.
 	routed bool
-	asked  time.Duration // how long the caller of a routed request says that it waits
+	// attempts counts the upstreams that the request was sent to.
+	attempts int
+	asked    time.Duration // how long the caller of a routed request says that it waits
 }
 
 // meetCutoff tells the parent request, if there is one, which cutoff a child call has met.
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"guavapoint.example/guavapoint/internal/core/announce"
+	"guavapoint.example/guavapoint/internal/events"
 	"io"
 	"sync/atomic"
 	"time"
@@ -60,9 +61,29 @@
 	v := &serving{header: h, deadline: deadline, account: retry.NewAccount(h.Retries), runCtx: ctx, span: span}
 	res := u.serve(ctx, v, s.Body())
 	span.End(res.outcome, res.reason)
+	u.logEnd(v, res)
 	u.answer(s, v, res)
 }
 
+// logEnd writes the line of a call that brought no answer, with what decided that.
+func (u *upstream) logEnd(v *serving, res *result) {
+	var known announce.Instance
+	if u.announced != nil {
+		known = u.announced.current()
+	}
+	class := v.header.Rank.Class().String()
+	switch res.outcome {
+	case call.OutcomeNotRun:
+		load := u.gate.load()
+		version, _ := u.config.Current()
+		u.report.log.Log(events.CallRefused, v.header.RootID, v.header.From, string(res.reason), class, load.Limit, load.InFlight,
+			load.Waiting, uint32(u.gate.cutoff()), known.ID, known.State.String(), version.Revision)
+	case call.OutcomeUnknown:
+		u.report.log.Log(events.CallFailed, v.header.RootID, v.header.From, string(res.reason), class, known.ID,
+			v.deadline.Sub(u.now()).String())
+	}
+}
+
 // serve decides on a call and runs it.
 func (u *upstream) serve(ctx context.Context, v *serving, body io.Reader) *result {
 	if res := u.misdirected(v.header); res != nil {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -51,6 +51,14 @@
 	RequestMalformed  = limited(4014, debug, "request-malformed", "a request was rejected as malformed", "remote", "error")
 )
 
+// Decisions on single requests. A request keeps its id on its way, so that its lines can be found on all daemons.
+var (
+	RequestRefused = decision(4015, info, "request-refused", "the entry refused a request that did not run", "route", "target_service", "class", "reason", "pass", "attempts", "config_revision", "duration")
+	RequestFailed  = decision(4016, warning, "request-failed", "a request of a caller was not served", "route", "target_service", "class", "upstream", "outcome", "reason", "status", "attempts", "config_revision", "duration")
+	CallRefused    = decision(4017, info, "call-refused", "the upstream's daemon refused a call before it ran", "from", "reason", "class", "limit", "in_flight", "waiting", "cutoff", "instance", "instance_state", "config_revision")
+	CallFailed     = decision(4018, warning, "call-failed", "a call that was passed to the backend server brought no answer", "from", "reason", "class", "instance", "time_left")
+)
+
 // Quarantine.
 var (
 	BackendCrashed       = define(5001, failure, "backend-server-crashed", "the backend server died", "in_flight", "error")
--- a/internal/events/event.go
+++ b/internal/events/event.go
@@ -24,11 +24,16 @@
 	Message string
 	// Fields names the values of Logger.Log in their order.
 	Fields []string
-	// Limited events are written at most once per LimitInterval, since a peer or a surge of calls can cause any
+	// Limited events are written at most Burst times per LimitInterval, since a peer or a surge of calls can cause any
 	// number of them. The next line carries the number of those left out as the field "suppressed".
 	Limited bool
+	Burst   int
 }
 
+// decisionBurst is the number of lines per LimitInterval of an event that tells the decision on one request. With four
+// such events a daemon writes at most 80 lines a second, about 32 KB.
+const decisionBurst = 20
+
 // Levels of events.
 const (
 	debug   = logrus.DebugLevel
@@ -49,7 +54,14 @@
 // limited is define for an event that is written at most once per LimitInterval.
 func limited(number int, level logrus.Level, name, message string, fields ...string) *Event {
 	e := define(number, level, name, message, fields...)
-	e.Limited = true
+	e.Limited, e.Burst = true, 1
+	return e
+}
+
+// decision is define for an event that tells the decision on one request, whose id is its first field.
+func decision(number int, level logrus.Level, name, message string, fields ...string) *Event {
+	e := limited(number, level, name, message, append([]string{"request_id"}, fields...)...)
+	e.Burst = decisionBurst
 	return e
 }
 
--- a/internal/events/logger.go
+++ b/internal/events/logger.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 )
 
-// LimitInterval is the shortest time between two lines of one limited event.
+// LimitInterval is the interval in which a limited event is written at most Event.Burst times.
 const LimitInterval = time.Second
 
 // Logger writes events. It is safe for concurrent use.
@@ -23,7 +23,8 @@
 }
 
 type limitState struct {
-	last       time.Time
+	since      time.Time // begin of the present interval
+	written    int       // lines in it
 	suppressed int
 }
 
@@ -124,11 +125,16 @@
 	defer l.mu.Unlock()
 	now := l.clock()
 	s, seen := l.limits[e.Number]
-	if seen && now.Sub(s.last) < LimitInterval {
-		s.suppressed++
+	if !seen || now.Sub(s.since) >= LimitInterval {
+		l.limits[e.Number] = limitState{since: now, written: 1}
+		return s.suppressed, true
+	}
+	if s.written < e.Burst {
+		s.written++
 		l.limits[e.Number] = s
-		return 0, false
+		return 0, true
 	}
-	l.limits[e.Number] = limitState{last: now}
-	return s.suppressed, true
+	s.suppressed++
+	l.limits[e.Number] = s
+	return 0, false
 }
--- a/internal/events/operations_test.go
+++ b/internal/events/operations_test.go
@@ -30,7 +30,7 @@
 		}
 	}
 	written := make(map[int]bool)
-	for _, m := range regexp.MustCompile(`(?m)^\t(\w+) += (?:define|limited)\((\d+),`).FindAllStringSubmatch(string(catalogue), -1) {
+	for _, m := range regexp.MustCompile(`(?m)^\t(\w+) += (?:define|limited|decision)\((\d+),`).FindAllStringSubmatch(string(catalogue), -1) {
 		number, _ := strconv.Atoi(m[2]) // the pattern has digits only
 		written[number] = regexp.MustCompile(`events\.` + m[1] + `\b`).MatchString(code.String())
 	}
@@ -42,7 +42,7 @@
 
 // Guards against operators who look for an event that no daemon writes.
 func TestOperationsPageUsesWrittenEvents(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -52,7 +52,7 @@
 		number, _ := strconv.Atoi(m[1]) // the pattern has digits only
 		cited++
 		if !written[number] {
-			t.Errorf("docs/operations.md uses event %d, which the daemon doesn't write", number)
+			t.Errorf("docs/OPERATIONS.md uses event %d, which the daemon doesn't write", number)
 		}
 	}
 	if cited < 20 {
--- /dev/null
+++ b/internal/events/writer_test.go
@@ -0,0 +1,48 @@
+package events
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+)
+
+// stuck is a reader of the log that has stopped reading.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+// Guards against a request that waits for the log: with a reader that has stopped, lines are left out and counted.
+func TestWriterNeverBlocks(t *testing.T) {
+	reader := stuck{make(chan struct{})}
+	w := NewWriter(reader)
+	const lines = 3 * queuedLines
+	for range lines {
+		if n, err := w.Write([]byte("line\n")); n != 5 || err != nil {
+			t.Fatal(n, err)
+		}
+	}
+	if left := w.LeftOut(); left < lines-queuedLines-1 || left > lines-queuedLines {
+		t.Errorf("%d lines left out", left)
+	}
+	close(reader.release)
+	w.Close()
+}
+
+// Guards against lines that are lost at the end of the process, or changed because a buffer is used again.
+func TestWriterKeepsOrderAndFlushes(t *testing.T) {
+	var got, want bytes.Buffer
+	w := NewWriter(&got)
+	line := make([]byte, 0, 16)
+	for i := range 500 {
+		line = fmt.Appendf(line[:0], "line %d\n", i)
+		want.Write(line)
+		_, _ = w.Write(line)
+	}
+	w.Close()
+	if got.String() != want.String() {
+		t.Errorf("%d bytes, want %d", got.Len(), want.Len())
+	}
+}
--- a/internal/telemetry/operations_test.go
+++ b/internal/telemetry/operations_test.go
@@ -11,7 +11,7 @@
 	"guavapoint.example/guavapoint/internal/core/call"
 )
 
-// Guards against a metric that docs/operations.md lacks, or lists although no daemon has it.
+// Guards against a metric that docs/OPERATIONS.md lacks, or lists although no daemon has it.
 func TestOperationsPageListsMetrics(t *testing.T) {
 	tel := newTelemetry(t, Config{})
 	if err := tel.Observe(func() Gauges { return Gauges{Members: map[string]int{"serving": 1}} }); err != nil {
@@ -22,14 +22,14 @@
 	tel.Refused(call.ReasonLeaving)
 	served := httptest.NewRecorder()
 	tel.Handler().ServeHTTP(served, httptest.NewRequest(http.MethodGet, "/metrics", nil))
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
 	want := names(`(?m)^# TYPE (guavapoint_\w+) `, served.Body.String())
 	got := names("(?m)^\\| `(guavapoint_\\w+)` \\|", string(page))
 	if len(want) == 0 || !slices.Equal(got, want) {
-		t.Errorf("docs/operations.md lists %q, the daemon serves %q", got, want)
+		t.Errorf("docs/OPERATIONS.md lists %q, the daemon serves %q", got, want)
 	}
 }
 
