--- a/internal/daemon/setup_test.go
+++ b/internal/daemon/setup_test.go
@@ -33,7 +33,8 @@
 	document  *config.Document
 	nodes     []*node
 	drain     time.Duration
-	platform  string // URL of the stand-in key-value service; without one the daemons start with the document
+	log       *events.Logger // of all daemons; nil discards
+	platform  string         // URL of the stand-in key-value service; without one the daemons start with the document
 }
 
 // node is one daemon with its backend server.
@@ -127,7 +128,7 @@
 	// Connections of other tests can take a free port for a moment.
 	var d *Daemon
 	waitUntil(s.t, "the daemon's ports are free", func() bool {
-		d, err = New(cfg, events.Discard(), tel)
+		d, err = New(cfg, s.logger(), tel)
 		return err == nil
 	})
 	if s.platform != "" {
@@ -139,6 +140,13 @@
 	return s.start(d, backend)
 }
 
+func (s *site) logger() *events.Logger {
+	if s.log == nil {
+		return events.Discard()
+	}
+	return s.log
+}
+
 func (s *site) start(d *Daemon, backend *httptest.Server) *node {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{Daemon: d, backend: backend, stop: cancel, stopped: make(chan error, 1)}
