Notice a backend server that lost its power, keep outcomes for 20 s, take limits from the settings

A backend server that lost its power sends nothing; its daemon let requests wait until their deadlines until a connection failed. Overdue heartbeats lead to a health check now. The drain limit and the heap's limit follow the settings instead of fixed figures.

--- a/internal/core/announce/tracker.go
+++ b/internal/core/announce/tracker.go
@@ -5,6 +5,13 @@
 	"time"
 )
 
+const (
+	// missedBeats is the number of heartbeats after which silence is looked into.
+	missedBeats = 2
+	// leastInterval keeps two heartbeats that arrive together, the first of them late, from counting as the interval.
+	leastInterval = 500 * time.Millisecond
+)
+
 // State is what is known of the backend server.
 type State uint8
 
@@ -67,7 +74,9 @@
 	// crashedSeq is the last heartbeat before a crash; only newer ones show that the backend server is back.
 	crashedSeq uint64
 	crashed    bool
-	proved     bool // the tracker has once known a backend server for sure, so nothing that it missed can matter
+	lastBeat   time.Time
+	interval   time.Duration // shortest time between two heartbeats of one start, 0 while unknown
+	proved     bool          // the tracker has once known a backend server for sure, so nothing that it missed can matter
 }
 
 // NewTracker returns a tracker for the backend servers of a service.
@@ -92,6 +101,7 @@
 		t.replace(h)
 	}
 	second := t.seq > 0
+	t.noteInterval(now, second)
 	t.seq = h.Seq
 	t.current.Slots = h.Slots
 	t.current.ColdUntil = now.Add(h.Cold)
@@ -108,6 +118,20 @@
 	return nil
 }
 
+// noteInterval learns how often heartbeats come.
+func (t *Tracker) noteInterval(now time.Time, second bool) {
+	if gap := now.Sub(t.lastBeat); second && gap >= leastInterval && (t.interval == 0 || gap < t.interval) {
+		t.interval = gap
+	}
+	t.lastBeat = now
+}
+
+// Overdue reports whether a backend server that takes work has not been heard of for several heartbeats. It may have lost
+// its power; a health check tells.
+func (t *Tracker) Overdue(now time.Time) bool {
+	return t.current.State == Ready && t.interval > 0 && now.Sub(t.lastBeat) > missedBeats*t.interval
+}
+
 // sameStart reports whether a heartbeat comes from the start that is known.
 func (t *Tracker) sameStart(h Heartbeat) bool {
 	return h.ID == t.current.ID && h.Born == t.current.Born
--- a/internal/core/announce/tracker_test.go
+++ b/internal/core/announce/tracker_test.go
@@ -102,3 +102,25 @@
 		t.Fatal("discovery revived a backend server that has left")
 	}
 }
+
+// Guards against work for a backend server that has lost its power, and against a check of one whose heartbeat is only
+// late.
+func TestOverdue(t *testing.T) {
+	tr := NewTracker("lookup")
+	_ = tr.Heartbeat(start, beat(1, 1, false))
+	_ = tr.Heartbeat(start.Add(1500*time.Millisecond), beat(1, 2, false))
+	if tr.Overdue(start.Add(4 * time.Second)) {
+		t.Error("overdue after less than two intervals")
+	}
+	if !tr.Overdue(start.Add(5 * time.Second)) {
+		t.Error("not overdue after more than two intervals")
+	}
+	tr.Crashed()
+	if tr.Overdue(start.Add(9 * time.Second)) {
+		t.Error("overdue although it is known to be gone")
+	}
+	_ = tr.Heartbeat(start.Add(10*time.Second), beat(1, 3, false))
+	if tr.Current().State != Ready || tr.Overdue(start.Add(11*time.Second)) {
+		t.Errorf("after its return: %+v", tr.Current())
+	}
+}
--- a/internal/daemon/announced.go
+++ b/internal/daemon/announced.go
@@ -137,6 +137,23 @@
 	_ = d.announce(func(t *announce.Tracker) error { t.Discover(id, discoveredSlots); return nil }) // has no error
 }
 
+// checkOverdue asks a backend server whose heartbeats have stopped whether it still lives. One that lost its power sends
+// nothing, and requests to it would wait until their deadlines.
+func (d *Daemon) checkOverdue(ctx context.Context) {
+	a := d.announced
+	a.mu.Lock()
+	overdue := a.tracker.Overdue(d.now())
+	a.mu.Unlock()
+	if !overdue {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
+	defer cancel()
+	if _, err := d.backend.health(ctx, platform.HealthPath); err != nil {
+		_ = d.announce(func(t *announce.Tracker) error { t.Crashed(); return nil }) // has no error
+	}
+}
+
 // announcedState returns the member state of an announced backend server.
 func (d *Daemon) announcedState() membership.State {
 	switch d.announced.current().State {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,7 +20,6 @@
 	"guavapoint.example/guavapoint/internal/core/call"
 	"guavapoint.example/guavapoint/internal/core/config"
 	"guavapoint.example/guavapoint/internal/core/membership"
-	"guavapoint.example/guavapoint/internal/core/outcome"
 	"guavapoint.example/guavapoint/internal/core/quarantine"
 	"guavapoint.example/guavapoint/internal/core/retry"
 	"guavapoint.example/guavapoint/internal/core/routing"
@@ -141,7 +140,7 @@
 func (d *Daemon) buildDecisions(base *url.URL) {
 	d.hops = newHopTable(d.incarnation)
 	d.gate = newGate(d.admissionConfig(nil), d.now)
-	d.tokens = newTokens(outcome.Config{}, d.incarnation, d.now)
+	d.tokens = newTokens(outcomeConfig(d.settings), d.incarnation, d.now)
 	d.suspects = newSuspects(quarantine.Config{}, d.now, d.spreadQuarantine)
 	d.services = newServiceTable(newSeed(), d.newPicker, d.newRatio, d.now)
 	if d.settings.Backend.Announced {
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -22,13 +22,25 @@
 	memoryLimit = 192 << 20 // bytes
 )
 
+// memoryShare is the part of a limited process's memory that the heap may take. The rest is for stacks, buffers of the
+// network and what the collector has not returned yet.
+const memoryShare = 0.5
+
+// heapLimit returns the limit of the heap in bytes.
+func heapLimit(s *settings.Settings) int64 {
+	if s.MemoryMB == 0 {
+		return memoryLimit
+	}
+	return min(memoryLimit, int64(memoryShare*float64(s.MemoryMB))<<20)
+}
+
 // tuneGC applies the settings unless the environment has its own.
-func tuneGC() {
+func tuneGC(limit int64) {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(memoryLimit)
+		debug.SetMemoryLimit(limit)
 	}
 }
 
@@ -37,7 +49,7 @@
 
 // Main runs a daemon with the given settings until ctx ends and the drain is over. It writes its log to w.
 func Main(ctx context.Context, s *settings.Settings, w io.Writer) error {
-	tuneGC()
+	tuneGC(heapLimit(s))
 	lines := events.NewWriter(w)
 	defer lines.Close()
 	log, err := events.New(lines, s.Log.Level, map[string]any{
--- a/internal/daemon/minted.go
+++ b/internal/daemon/minted.go
@@ -6,18 +6,33 @@
 	"time"
 
 	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/core/outcome"
 	"guavapoint.example/guavapoint/internal/core/routing"
+	"guavapoint.example/guavapoint/internal/settings"
 	"guavapoint.example/guavapoint/internal/wire"
 )
 
 const (
 	// mintedTTL bounds the time in which a minted token can be spent. It covers the longest wait of a caller and clocks
 	// that are some seconds apart.
-	mintedTTL = time.Minute
+	mintedTTL = 20 * time.Second
+	// mintedRetention is how long the outcome under a minted token is kept. Only its entry asks, within resolveTimeout of
+	// the loss, so the time of the network's delays would do.
+	mintedRetention = 20 * time.Second
+	// mintedMaxBytes bounds the answers that are kept, in bytes.
+	mintedMaxBytes = 16 << 20
 	// resolveTimeout bounds the question for an outcome. It covers a new connection between regions.
 	resolveTimeout = 500 * time.Millisecond
 )
 
+// outcomeConfig returns the bounds of the token table. With an ingress nearly all tokens are minted.
+func outcomeConfig(s *settings.Settings) outcome.Config {
+	if s.Ingress == nil {
+		return outcome.Config{}
+	}
+	return outcome.Config{Retention: mintedRetention, MaxBytes: mintedMaxBytes}
+}
+
 // mint binds a request to an upstream before it is sent there, in the place of a caller that holds no token.
 func mint(now time.Time, req *request, target routing.Candidate) {
 	tok := call.Token{
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -140,6 +140,9 @@
 		d.tokens.tick()
 		d.suspects.tick()
 		d.watch(&w, d.now())
+		if d.announced != nil {
+			d.checkOverdue(ctx)
+		}
 	})
 }
 
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -75,7 +75,7 @@
 
 func (r *reader) settings(root *node) *Settings {
 	o := r.object("", root, "name", "service", "region", "zone", "peer_address", "call_address", "admin_address",
-		"backend", "tls", "platform", "peers", "calls", "telemetry", "log", "drain_limit", "ingress", "bounds")
+		"backend", "tls", "platform", "peers", "calls", "telemetry", "log", "drain_limit", "ingress", "bounds", "memory_mb", "kill_after")
 	s := &Settings{
 		Name:         o.text("name", "", nameCheck),
 		Service:      o.text("service", "", nameCheck),
@@ -89,6 +89,9 @@
 		r.report("admin_address", strconv.Quote(s.AdminAddress)+", which is also call_address", "an address of its own")
 	}
 	s.Backend = r.backend(o.get("backend"))
+	if o.get("memory_mb") != nil {
+		s.MemoryMB = o.integer("memory_mb", 32, 1<<20)
+	}
 	s.Ingress = r.ingress(o.get("ingress"))
 	s.Bounds = r.bounds(o.get("bounds"))
 	if o.get("tls") != nil || s.Ingress == nil {
@@ -102,9 +105,15 @@
 	log := r.object("log", o.get("log"), "level")
 	s.Log.Level = log.text("level", DefaultLogLevel, levelCheck)
 	s.DrainLimit = o.duration("drain_limit", DefaultDrainLimit, MinDrainLimit, MaxDrainLimit)
+	if killed := o.duration("kill_after", 0, MinDrainLimit+killMargin, MaxDrainLimit); killed > 0 {
+		s.DrainLimit = min(s.DrainLimit, killed-killMargin)
+	}
 	return s
 }
 
+// killMargin is left between the end of the drain and the kill, for closing connections.
+const killMargin = 700 * time.Millisecond
+
 func (r *reader) backend(n *node) Backend {
 	o := r.object("backend", n, "url", "slots", "connections", "announced")
 	if o.flag("announced") {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -80,8 +80,11 @@
 	// Telemetry is optional.
 	Telemetry Telemetry
 	Log       Log
-	// DrainLimit bounds a graceful shutdown.
+	// DrainLimit bounds a graceful shutdown. It is below the time after which the process is killed, where the settings tell
+	// that.
 	DrainLimit time.Duration
+	// MemoryMB is the memory that the process may use, 0 where it isn't limited.
+	MemoryMB int
 }
 
 // Backend describes the backend server beside the daemon.
