Probe a slow upstream with one request at a time

Cause: the mark of a slow upstream came from its recent latency, which counts less with its age, so after two seconds each daemon sent all requests of its zone there again until the first late answer came. The mark stays now until an answer comes in time, and one request at a time tries it.

--- a/internal/core/routing/picker.go
+++ b/internal/core/routing/picker.go
@@ -139,6 +139,7 @@
 		return Candidate{}, ErrLinkBudget
 	}
 	u.inFlight++
+	u.lastPick = now
 	return u.Candidate, nil
 }
 
@@ -181,6 +182,7 @@
 		u.recordLatency(now, r.Latency)
 		p.latency = average(p.latency, r.Latency.Seconds())
 	}
+	p.judgeSpeed(now, u, r)
 	u.recordHealth(now, r)
 	if u.failing() && p.mayEject(now) {
 		u.eject(now)
@@ -192,7 +194,6 @@
 func (p *Picker) choose(now time.Time, q Query) (choices, bool) {
 	var cs choices
 	present := false
-	fastest := p.fastest(now)
 	for _, u := range p.upstreams {
 		if !u.usable(now, q.Exclude) {
 			continue
@@ -201,7 +202,7 @@
 		if u.refuses(now, q.Rank) {
 			continue
 		}
-		load := p.load(now, u, fastest)
+		load := p.load(now, u)
 		cs.add(u, p.score(now, u), load, p.wait(now, u, load), p.rng)
 	}
 	return cs, present
@@ -213,10 +214,9 @@
 		return nil
 	}
 	var cs choices
-	fastest := p.fastest(now)
 	for _, u := range p.upstreams {
 		if u.usable(now, q.Exclude) {
-			load := p.load(now, u, fastest)
+			load := p.load(now, u)
 			cs.add(u, p.score(now, u), load, p.wait(now, u, load), p.rng)
 		}
 	}
@@ -245,11 +245,31 @@
 	return least
 }
 
-// load returns the share of an upstream's limit that is taken. One that takes much longer than the fastest counts as
-// full: its slots are held for long, so the load alone shows that late.
-func (p *Picker) load(now time.Time, u *upstream, fastest float64) float64 {
+// judgeSpeed marks an upstream that takes much longer than the fastest one, and clears the mark with the first answer that
+// comes in time.
+func (p *Picker) judgeSpeed(now time.Time, u *upstream, r Result) {
+	if r.Outcome != call.OutcomeAnswered && r.Reason != call.ReasonTimeout {
+		return
+	}
+	limit := slowFactor*p.fastest(now) + slowMargin
+	switch {
+	case r.Outcome == call.OutcomeAnswered && r.Latency.Seconds() <= limit:
+		if u.slow {
+			u.latency = r.Latency.Seconds()
+		}
+		u.slow = false
+	case u.latency > limit:
+		u.slow = true
+	}
+}
+
+// load returns the share of an upstream's limit that is taken. A slow one counts as full: its slots are held for long, so
+// the load alone shows that late. It is probed with one request at a time, because all that are sent until the answer
+// comes would be late.
+func (p *Picker) load(now time.Time, u *upstream) float64 {
 	load := u.load(now)
-	if fastest > 0 && u.recentLatency(now) > slowFactor*fastest+slowMargin {
+	probe := u.inFlight == 0 && now.Sub(u.lastPick) >= slowProbe
+	if u.slow && !probe {
 		return load + 1
 	}
 	return load
--- a/internal/core/routing/picker_test.go
+++ b/internal/core/routing/picker_test.go
@@ -71,14 +71,13 @@
 	rank := call.Lowest(call.Class(rapid.IntRange(0, 3).Draw(t, "class")))
 	nearest, usable := numTiers, 0
 	roomy, least := numTiers, math.Inf(1)
-	fastest := p.fastest(now)
 	waits := make(map[string]float64)
 	for _, u := range p.upstreams {
 		if u.usable(now, nil) {
 			usable++
 			if !u.refuses(now, rank) {
 				nearest = min(nearest, u.tier)
-				load := p.load(now, u, fastest)
+				load := p.load(now, u)
 				waits[u.Address] = p.wait(now, u, load)
 				least = min(least, waits[u.Address])
 				if load <= spillAt[u.tier] {
--- a/internal/core/routing/spill_test.go
+++ b/internal/core/routing/spill_test.go
@@ -66,3 +66,35 @@
 		t.Errorf("slow upstream: %v", got)
 	}
 }
+
+// Guards against many requests that are sent to a slow upstream at once each time it is tried again, and against one that
+// is left out after it has become fast.
+func TestSlowUpstreamIsProbedOneAtATime(t *testing.T) {
+	p := spillPicker()
+	for range 20 {
+		p.Done(start, "near", Result{Outcome: call.OutcomeAnswered, Latency: 500 * time.Millisecond, Load: 0.3})
+		p.Done(start, "region", Result{Outcome: call.OutcomeAnswered, Latency: 40 * time.Millisecond, Load: 0.3})
+	}
+	p.Done(start, "near", Result{Outcome: call.OutcomeAnswered, Latency: 500 * time.Millisecond, Load: 0.3})
+	now := start
+	sent := 0
+	for range 400 { // 4 s without an answer of the slow upstream
+		now = now.Add(10 * time.Millisecond)
+		c, err := p.Pick(now, Query{Rank: call.Lowest(call.ClassHigh)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.Address == "near" {
+			sent++
+			continue
+		}
+		p.Done(now, c.Address, Result{Outcome: call.OutcomeAnswered, Latency: 40 * time.Millisecond, Load: 0.3})
+	}
+	if sent != 1 {
+		t.Errorf("%d requests wait at the slow upstream, want one", sent)
+	}
+	p.Done(now, "near", Result{Outcome: call.OutcomeAnswered, Latency: 40 * time.Millisecond, Load: 0.1})
+	if c, err := p.Pick(now, Query{Rank: call.Lowest(call.ClassHigh)}); err != nil || c.Address != "near" {
+		t.Errorf("after a fast answer: %v, %v", c.Address, err)
+	}
+}
--- a/internal/core/routing/upstream.go
+++ b/internal/core/routing/upstream.go
@@ -21,6 +21,8 @@
 	// up to three times; the margin covers a round trip between regions.
 	slowFactor = 3
 	slowMargin = 0.1
+	// slowProbe spaces the requests with which each daemon tries a slow upstream again.
+	slowProbe = 500 * time.Millisecond
 	// rampStart is the share of calls that a cold upstream begins with.
 	rampStart = 0.1
 )
@@ -43,6 +45,8 @@
 
 	latency   float64 // moving average in seconds, 0 while unknown
 	latencyAt time.Time
+	slow      bool      // takes much longer than the fastest upstream
+	lastPick  time.Time // time of the last call that was sent here
 
 	cutoff   call.Rank
 	cutoffAt time.Time
