--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -52,14 +52,22 @@
 	if d.settings.Ingress == nil {
 		return nil
 	}
-	calls := d.serve(d.ingress.calls, newIngress(d.entry, d.settings.Service, newRand()))
-	calls.IdleTimeout = ingressIdleTimeout
-	return []*http.Server{calls, d.serve(d.ingress.ready, d.readyHandler()), d.serve(d.ingress.announce, d.announceRouter())}
+	calls := newIngress(d.entry, d.settings.Service, newRand())
+	return []*http.Server{
+		d.serveIdle(d.ingress.calls, calls, ingressIdleTimeout),
+		d.serve(d.ingress.ready, d.readyHandler()),
+		d.serve(d.ingress.announce, d.announceRouter()),
+	}
 }
 
-// serve starts an HTTP server on a listener.
+// serve starts an HTTP server on a listener. Idle connections stay open.
 func (d *Daemon) serve(l net.Listener, h http.Handler) *http.Server {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerReadLimit, MaxHeaderBytes: maxHTTPHeader}
+	return d.serveIdle(l, h, 0)
+}
+
+// serveIdle is serve with a time after which idle connections are closed.
+func (d *Daemon) serveIdle(l net.Listener, h http.Handler, idle time.Duration) *http.Server {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerReadLimit, MaxHeaderBytes: maxHTTPHeader, IdleTimeout: idle}
 	d.tasks.Go(func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			d.log.Log(events.ListenerFailed, nil, l.Addr().String(), err.Error())
