Try another upstream when a non-idempotent request was never sent

The entry asked the unreachable daemon for the outcome of a request that it had never sent, and reported it unknown.

Ruled out: a lost answer, no arrival is on record. Before: TestRequestThatWasNeverSentDidNotRun reports unknown; after: not run.

--- a/internal/daemon/ingress_test.go
+++ b/internal/daemon/ingress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -18,6 +19,8 @@
 	"guavapoint.example/guavapoint/internal/settings"
 	"guavapoint.example/guavapoint/internal/standin/kvstore"
 	"guavapoint.example/guavapoint/internal/store"
+	"guavapoint.example/guavapoint/internal/transport"
+	"guavapoint.example/guavapoint/internal/wire"
 	"guavapoint.example/guavapoint/platform"
 )
 
@@ -292,3 +295,36 @@
 		t.Errorf("the late request had outcome %v, %d runs", a.outcome, b.runs.Load()-runs)
 	}
 }
+
+// unreachable is a network on which no peer can be reached.
+type unreachable struct{}
+
+func (unreachable) Call(context.Context, string, *wire.CallHeader, io.Reader) (*transport.Answer, error) {
+	return nil, &transport.NotSentError{Err: errors.New("no route")}
+}
+
+func (unreachable) Request(context.Context, string, *wire.Control) (*wire.Control, error) {
+	return nil, &transport.NotSentError{Err: errors.New("no route")}
+}
+
+// Guards against a non-idempotent request that is reported as "may have run" although it was never sent, by which its
+// caller can't send it again.
+func TestRequestThatWasNeverSentDidNotRun(t *testing.T) {
+	s := newSite(t)
+	s.withOperator()
+	b := newAnnouncedBackend(t, "i-1")
+	n := s.addAnnounced("lookup", b)
+	waitUntil(t, "the daemon is ready", n.isReady)
+	n.heartbeat(t, "i-1", 1, "ready")
+	waitUntil(t, "the daemon serves", func() bool { return n.request(t, http.MethodGet, "/read/x").status == http.StatusOK })
+	_, doc := n.config.Current()
+	found := doc.Match("a.example", "/write/x")
+	req := newIngress(n.entry, "lookup", newRand()).request(httptest.NewRequest(http.MethodPost, "/write/x", http.NoBody), found, n.now())
+	req.span = n.entry.dispatch.report.telemetry.StartSpan("entry", "", "lookup", req.rank.Class())
+	d := &dispatcher{self: n.entry.dispatch.self, peers: unreachable{}, config: n.config, report: n.entry.dispatch.report,
+		services: n.services, seen: n.seen, now: n.now, rng: newRand()}
+	body, _ := newRequestBody(strings.NewReader(""), 0)
+	if res := d.callOnce(t.Context(), req, nil, body); res.outcome != call.OutcomeNotRun {
+		t.Errorf("outcome %v, reason %v", res.outcome, res.reason)
+	}
+}
--- a/internal/daemon/minted.go
+++ b/internal/daemon/minted.go
@@ -62,7 +62,7 @@
 		a := d.send(ctx, req, target, fields, body, func(r routing.Result) {
 			service.done(d.now(), target.Address, r)
 		})
-		if lost(a) && a.reason != call.ReasonTimeout {
+		if a.sent && lost(a) && a.reason != call.ReasonTimeout {
 			a = d.settle(req, a)
 		}
 		last = a.result
