--- a/internal/core/admission/controller_test.go
+++ b/internal/core/admission/controller_test.go
@@ -4,8 +4,9 @@
 	"testing"
 	"time"
 
-	"guavapoint.example/guavapoint/internal/core/call"
 	"pgregory.net/rapid"
+
+	"guavapoint.example/guavapoint/internal/core/call"
 )
 
 // model follows a Controller by its effects alone.
--- a/internal/core/admission/limiter_test.go
+++ b/internal/core/admission/limiter_test.go
@@ -7,8 +7,9 @@
 	"testing"
 	"time"
 
-	"guavapoint.example/guavapoint/internal/core/call"
 	"pgregory.net/rapid"
+
+	"guavapoint.example/guavapoint/internal/core/call"
 )
 
 const testSlots = 40
--- a/internal/core/retry/retry_test.go
+++ b/internal/core/retry/retry_test.go
@@ -6,8 +6,9 @@
 	"testing"
 	"time"
 
-	"guavapoint.example/guavapoint/internal/core/call"
 	"pgregory.net/rapid"
+
+	"guavapoint.example/guavapoint/internal/core/call"
 )
 
 // tree runs one request over a random call tree and counts its retries. Lost responses return nothing.
--- a/internal/core/routing/link_test.go
+++ b/internal/core/routing/link_test.go
@@ -4,8 +4,9 @@
 	"testing"
 	"time"
 
-	"guavapoint.example/guavapoint/internal/core/call"
 	"pgregory.net/rapid"
+
+	"guavapoint.example/guavapoint/internal/core/call"
 )
 
 const testRate = 400_000 // bytes per second, as in the preset "ordinary"
--- a/internal/core/routing/picker_test.go
+++ b/internal/core/routing/picker_test.go
@@ -8,8 +8,9 @@
 	"testing"
 	"time"
 
-	"guavapoint.example/guavapoint/internal/core/call"
 	"pgregory.net/rapid"
+
+	"guavapoint.example/guavapoint/internal/core/call"
 )
 
 var epoch = time.Unix(1000, 0)
--- a/internal/daemon/drainstate.go
+++ b/internal/daemon/drainstate.go
@@ -1,11 +1,11 @@
 package daemon
 
 import (
-	"guavapoint.example/guavapoint/internal/settings"
 	"sync"
 	"time"
 
 	"guavapoint.example/guavapoint/internal/core/drain"
+	"guavapoint.example/guavapoint/internal/settings"
 )
 
 // leaveNotice is the shortest time between the begin of a drain and the exit. It lets the announcement reach the neighbours,
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"guavapoint.example/guavapoint/internal/core/announce"
 	"net"
 	"net/http"
 	"time"
 
+	"guavapoint.example/guavapoint/internal/core/announce"
 	"guavapoint.example/guavapoint/internal/core/membership"
 	"guavapoint.example/guavapoint/internal/core/quarantine"
 	"guavapoint.example/guavapoint/internal/events"
