End a stop before the kill where unused connections are open

Cause: closing a listener waits for connections on which nothing was sent, up to 2 s after a drain of up to 5.3 s; the platform kills after 6 s.

Ruled out: requests in flight, they hold the drain itself. With an ingress the close is bounded by 0.2 s. TestStopEndsBeforeTheKill: 7.3 s before, passes now.

--- a/internal/daemon/drainstate_test.go
+++ b/internal/daemon/drainstate_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"guavapoint.example/guavapoint/internal/settings"
 )
 
 // Guards against a daemon that exits before its neighbours can hear that it leaves, and against one that outlasts its limit
@@ -20,3 +22,20 @@
 		}
 	}
 }
+
+// Guards against a daemon that is killed because its stop takes longer than the time that the settings name, with
+// connections open on which nothing was sent.
+func TestStopEndsBeforeTheKill(t *testing.T) {
+	s, err := settings.Parse("settings.json", []byte(`{"name": "a", "service": "s", "region": "r", "zone": "z",
+		"peer_address": "127.0.0.1:1", "call_address": "127.0.0.1:2", "admin_address": "127.0.0.1:3",
+		"ingress": {"address": "127.0.0.1:4", "ready_address": "127.0.0.1:5", "announce_address": "127.0.0.1:6"},
+		"backend": {"url": "http://127.0.0.1:7", "announced": true}, "platform": {"urls": ["http://127.0.0.1:8"]},
+		"kill_after": "6s"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	limit, notice := drainTimes(s)
+	if longest := readyNotice + max(limit, notice) + closeLimitOf(s); longest >= 6*time.Second {
+		t.Errorf("a stop takes up to %s", longest)
+	}
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -12,6 +12,7 @@
 	"guavapoint.example/guavapoint/internal/core/membership"
 	"guavapoint.example/guavapoint/internal/core/quarantine"
 	"guavapoint.example/guavapoint/internal/events"
+	"guavapoint.example/guavapoint/internal/settings"
 )
 
 const (
@@ -21,7 +22,8 @@
 	// show a dead backend server earlier; the check finds it without calls.
 	backendPoll = 500 * time.Millisecond
 	// closeLimit bounds the closing of listeners after the drain; whatever is still open then was cut off by the drain limit.
-	closeLimit = 2 * time.Second
+	closeLimit        = 2 * time.Second
+	ingressCloseLimit = 200 * time.Millisecond
 	// headerReadLimit ends connections whose caller never completes a header.
 	headerReadLimit = 10 * time.Second
 	// maxHTTPHeader leaves room for the message's own fields within wire.MaxHeader, in bytes.
@@ -183,9 +185,18 @@
 	return 0
 }
 
+// closeLimitOf returns the bound on closing the listeners. With an ingress all requests have ended by then; what is left
+// are connections on which nothing was sent, for which net/http would wait for seconds.
+func closeLimitOf(s *settings.Settings) time.Duration {
+	if s.Ingress != nil {
+		return ingressCloseLimit
+	}
+	return closeLimit
+}
+
 // close closes the listeners.
 func (d *Daemon) close(servers []*http.Server, cut int) error {
-	limit := closeLimit
+	limit := closeLimitOf(d.settings)
 	if cut > 0 {
 		limit = 0 // the drain limit has passed already
 	}
