--- a/internal/core/routing/choice.go
+++ b/internal/core/routing/choice.go
@@ -27,11 +27,7 @@
 var spillAt = [numTiers]float64{tierZone: 0.8, tierRegion: 0.95, tierRemote: 0.95}
 
 // add is reservoir sampling with two places.
-func (cs *choices) add(u *upstream, score, load, wait float64, rng *rand.Rand) {
-	if load > spillAt[u.tier] {
-		cs.addFull(u, wait)
-		return
-	}
+func (cs *choices) add(u *upstream, score float64, rng *rand.Rand) {
 	p := &cs.tiers[u.tier]
 	p.seen++
 	s := scored{u, score}
@@ -54,6 +50,7 @@
 	}
 }
 
+// addFull keeps the upstream without room where the wait is shortest.
 func (cs *choices) addFull(u *upstream, wait float64) {
 	if cs.least == nil || wait < cs.wait {
 		cs.least, cs.wait = u, wait
--- a/internal/core/routing/picker.go
+++ b/internal/core/routing/picker.go
@@ -202,12 +202,21 @@
 		if u.refuses(now, q.Rank) {
 			continue
 		}
-		load := p.load(now, u)
-		cs.add(u, p.score(now, u), load, p.wait(now, u, load), p.rng)
+		p.consider(&cs, now, u)
 	}
 	return cs, present
 }
 
+// consider adds an upstream to the choices, by its score where it has room and by its wait where it has none.
+func (p *Picker) consider(cs *choices, now time.Time, u *upstream) {
+	load := p.load(now, u)
+	if load > spillAt[u.tier] {
+		cs.addFull(u, p.wait(now, u, load))
+		return
+	}
+	cs.add(u, p.score(now, u), p.rng)
+}
+
 // probe chooses the nearest upstream without regard to cutoffs, for ProbeShare of the calls.
 func (p *Picker) probe(now time.Time, q Query) *upstream {
 	if p.rng.Float64() >= ProbeShare {
@@ -216,8 +225,7 @@
 	var cs choices
 	for _, u := range p.upstreams {
 		if u.usable(now, q.Exclude) {
-			load := p.load(now, u)
-			cs.add(u, p.score(now, u), load, p.wait(now, u, load), p.rng)
+			p.consider(&cs, now, u)
 		}
 	}
 	return cs.best()
--- a/internal/daemon/ingress_test.go
+++ b/internal/daemon/ingress_test.go
@@ -271,13 +271,7 @@
 // Guards against a request that is refused with "not run" and runs later: the question for the outcome of a minted token
 // that has not arrived makes it invalid.
 func TestMintedTokenThatWasAskedForNeverRuns(t *testing.T) {
-	s := newSite(t)
-	s.withOperator()
-	b := newAnnouncedBackend(t, "i-1")
-	n := s.addAnnounced("lookup", b)
-	waitUntil(t, "the daemon is ready", n.isReady)
-	n.heartbeat(t, "i-1", 1, "ready")
-	waitUntil(t, "the daemon serves", func() bool { return n.request(t, http.MethodGet, "/read/x").status == http.StatusOK })
+	n, b := servingLookup(t)
 	d := n.entry.dispatch
 	_, doc := n.config.Current()
 	found := doc.Match("a.example", "/write/x")
@@ -296,6 +290,19 @@
 	}
 }
 
+// servingLookup returns a daemon that serves the lookup service, with its backend server.
+func servingLookup(t *testing.T) (*node, *announcedBackend) {
+	t.Helper()
+	s := newSite(t)
+	s.withOperator()
+	b := newAnnouncedBackend(t, "i-1")
+	n := s.addAnnounced("lookup", b)
+	waitUntil(t, "the daemon is ready", n.isReady)
+	n.heartbeat(t, "i-1", 1, "ready")
+	waitUntil(t, "the daemon serves", func() bool { return n.request(t, http.MethodGet, "/read/x").status == http.StatusOK })
+	return n, b
+}
+
 // unreachable is a network on which no peer can be reached.
 type unreachable struct{}
 
@@ -310,13 +317,7 @@
 // Guards against a non-idempotent request that is reported as "may have run" although it was never sent, by which its
 // caller can't send it again.
 func TestRequestThatWasNeverSentDidNotRun(t *testing.T) {
-	s := newSite(t)
-	s.withOperator()
-	b := newAnnouncedBackend(t, "i-1")
-	n := s.addAnnounced("lookup", b)
-	waitUntil(t, "the daemon is ready", n.isReady)
-	n.heartbeat(t, "i-1", 1, "ready")
-	waitUntil(t, "the daemon serves", func() bool { return n.request(t, http.MethodGet, "/read/x").status == http.StatusOK })
+	n, _ := servingLookup(t)
 	_, doc := n.config.Current()
 	found := doc.Match("a.example", "/write/x")
 	req := newIngress(n.entry, "lookup", newRand()).request(httptest.NewRequest(http.MethodPost, "/write/x", http.NoBody), found, n.now())
