Carry calls between daemons over TCP instead of QUIC

Change: one exchange at a time on a kept TCP connection; signs of life while an answer is to come; a goodbye in place of an answer proves that nothing ran; TLS only where the settings name certificates. quic-go leaves the daemon.

--- a/examples/generate/main.go
+++ b/examples/generate/main.go
@@ -1,7 +1,7 @@
 // Command generate writes the daemon settings of the example deployments from a table. Run it in the repository's root
 // with "go generate ./examples/generate" after a change of the table.
 //
-// A port is 2DZSP: D is the deployment, Z the zone, S the upstream within the zone and P the part: 1 peer address (UDP),
+// A port is 2DZSP: D is the deployment, Z the zone, S the upstream within the zone and P the part: 1 peer address,
 // 2 call address, 3 admin address, 4 backend server. The stand-in platform of a deployment listens on 2D001.
 package main
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -209,12 +209,12 @@
 	return cfg
 }
 
-// loadTLS reads the files that the settings name, or makes a key for this start.
+// loadTLS reads the files that the settings name. It returns nil, for plain connections, where they name none.
 func (d *Daemon) loadTLS() (*tls.Config, error) {
 	files := d.settings.TLS
 	if !files.Given() {
 		d.log.Log(events.PeersUnauthenticated)
-		return transport.SelfSignedTLS()
+		return nil, nil
 	}
 	return transport.LoadTLS(files.Certificate, files.Key, files.Authority)
 }
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -83,6 +83,6 @@
 	PlatformAvailable    = define(6006, info, "platform-available", "the platform answers again", "outage")
 	PlatformUnknown      = limited(6007, warning, "platform-write-unknown", "the outcome of a platform write is not known", "operation", "error")
 	ExportFailed         = limited(6008, warning, "trace-export-failed", "trace spans could not be exported", "error")
-	PeersUnauthenticated = define(6010, warning, "peers-unauthenticated", "the settings name no certificates; connections between daemons are encrypted but not authenticated")
+	PeersUnauthenticated = define(6010, warning, "peers-unauthenticated", "the settings name no certificates; connections between daemons are neither encrypted nor authenticated")
 	CertificateExpiring  = define(6009, failure, "certificate-expiring", "this daemon's certificate expires soon", "expires")
 )
--- a/internal/loopback/pool.go
+++ b/internal/loopback/pool.go
@@ -15,6 +15,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"guavapoint.example/guavapoint/internal/sockets"
 )
 
 const (
@@ -147,7 +149,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	return nothingToRead(c.Conn)
+	return sockets.Quiet(c.Conn)
 }
 
 // write sends the request. The channel tells when all of it was written.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,7 +55,7 @@
 	// Region and Zone are where the daemon runs.
 	Region string
 	Zone   string
-	// PeerAddress is the ip:port on which other daemons reach this one by QUIC.
+	// PeerAddress is the ip:port on which other daemons reach this one over TCP.
 	PeerAddress string
 	// CallAddress is the ip:port of the HTTP listener for callers and for the backend server.
 	CallAddress string
--- a/internal/transport/answer.go
+++ b/internal/transport/answer.go
@@ -9,16 +9,14 @@
 
 // answerWriter writes an answer whose header is in buffer.
 type answerWriter struct {
-	stream  io.Writer
+	conn    *accepted
 	buffer  *bytes.Buffer // not written yet
 	unspent func() int
 }
 
-// flush writes the buffer.
-func (a *answerWriter) flush() error {
-	_, err := a.stream.Write(a.buffer.Bytes())
-	a.buffer.Reset()
-	return err
+// Write implements io.Writer for whole messages.
+func (a *answerWriter) Write(messages []byte) (int, error) {
+	return a.conn.write(messages)
 }
 
 // writeBody writes the header, the body and the trailer. A short body of known length goes out in one write.
@@ -50,10 +48,11 @@
 }
 
 func (a *answerWriter) writeRest(body io.Reader, before int64) error {
-	if err := a.flush(); err != nil {
+	if _, err := a.Write(a.buffer.Bytes()); err != nil {
 		return err
 	}
-	n, err := copyFrames(a.stream, body)
+	a.buffer.Reset()
+	n, err := copyFrames(a, body)
 	if err != nil {
 		return err
 	}
@@ -65,5 +64,5 @@
 	if err := wire.WriteTrailer(a.buffer, &wire.Trailer{Unspent: max(0, a.unspent()), Length: length}); err != nil {
 		return err
 	}
-	return a.flush()
+	return a.conn.writeLast(a.buffer.Bytes())
 }
--- a/internal/transport/call.go
+++ b/internal/transport/call.go
@@ -8,8 +8,6 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/quic-go/quic-go"
-
 	"guavapoint.example/guavapoint/internal/core/call"
 	"guavapoint.example/guavapoint/internal/wire"
 )
@@ -35,7 +33,7 @@
 // Call sends a call and returns its answer as soon as the header of the answer has arrived. body may be nil. It is
 // read by another goroutine, possibly until the answer's body has ended, and is not closed.
 //
-// ctx also covers the reading of the answer's body: when it ends, the stream is reset and the peer sees the
+// ctx also covers the reading of the answer's body: when it ends, the connection is closed and the peer sees the
 // cancellation. The error is a *NotSentError or a *LostError.
 func (t *Transport) Call(ctx context.Context, address string, h *wire.CallHeader, body io.Reader) (*Answer, error) {
 	b := newBuffer()
@@ -48,7 +46,7 @@
 		return nil, err
 	}
 	x.send(b, body)
-	header, err := wire.ReadAnswerHeader(x.stream)
+	header, err := wire.ReadAnswerHeader(x.conn.reader)
 	if err != nil {
 		return nil, x.fail(err)
 	}
@@ -57,7 +55,7 @@
 		x.finish()
 		return a, nil
 	}
-	a.body = &answerBody{x: x, frames: wire.NewResponseBody(x.stream)}
+	a.body = &answerBody{x: x, frames: wire.NewResponseBody(x.conn.reader)}
 	a.Body = a.body
 	return a, nil
 }
@@ -68,100 +66,80 @@
 func (noBody) Read([]byte) (int, error) { return 0, io.EOF }
 func (noBody) Close() error             { return nil }
 
-// exchange is the calling side of one stream.
+// exchange is the calling side of one call or control message.
 type exchange struct {
-	t      *Transport
-	ctx    context.Context
-	conn   *conn
-	stream *quic.Stream
-	stop   func() bool // stops the reset at the end of ctx
-	once   sync.Once   // ends the exchange
+	t    *Transport
+	ctx  context.Context
+	conn *conn
+	stop func() bool // stops the close at the end of ctx
+	once sync.Once   // ends the exchange
 
 	sent    atomic.Bool // the request was written whole
 	bodyErr atomic.Pointer[BodyError]
 }
 
-// openAttempts is how often a stream is opened on another connection after one was found closed. Nothing was sent on
-// the stream by then.
-const openAttempts = 3
-
-// startExchange opens a stream. Its errors are *NotSentError.
+// startExchange takes a connection. Its errors are *NotSentError.
 func (t *Transport) startExchange(ctx context.Context, address string) (*exchange, error) {
 	if !t.beginOutgoing() {
 		return nil, &NotSentError{Address: address, Err: ErrClosed}
 	}
-	var err error
-	for range openAttempts {
-		var c *conn
-		if c, err = t.pool.acquire(ctx, address); err != nil {
-			break
-		}
-		var stream *quic.Stream
-		if stream, err = c.quic.OpenStreamSync(ctx); err == nil {
-			x := &exchange{t: t, ctx: ctx, conn: c, stream: stream}
-			x.stop = resetOnEnd(ctx, stream)
-			return x, nil
-		}
-		t.pool.release(c, false)
-		if ctx.Err() != nil {
-			break
-		}
+	c, err := t.pool.acquire(ctx, address)
+	if err != nil {
+		t.endOutgoing()
+		return nil, &NotSentError{Address: address, Err: err}
 	}
-	t.endOutgoing()
-	return nil, &NotSentError{Address: address, Err: err}
-}
-
-// end ends the exchange. Later calls do nothing.
-func (x *exchange) end(answered bool) {
-	x.once.Do(func() { x.release(answered) })
+	x := &exchange{t: t, ctx: ctx, conn: c}
+	x.stop = context.AfterFunc(ctx, func() { c.Close() })
+	return x, nil
 }
 
-func (x *exchange) release(answered bool) {
-	x.stop()
-	x.t.pool.release(x.conn, answered)
-	x.t.endOutgoing()
+// end ends the exchange. The connection is kept where whole is set. Later calls do nothing.
+func (x *exchange) end(whole bool, err error) {
+	x.once.Do(func() {
+		if x.stop() && whole && x.conn.reader.Buffered() == 0 {
+			x.t.pool.put(x.conn)
+		} else {
+			x.t.pool.discard(x.conn, err)
+		}
+		x.t.endOutgoing()
+	})
 }
 
 // fail gives up the exchange and converts the error.
 func (x *exchange) fail(err error) error {
-	reset(x.stream, codeCanceled)
-	x.end(false)
+	silent := errors.Is(err, errSilent) && x.ctx.Err() == nil
+	x.end(false, err)
+	if silent {
+		x.t.pool.retire(x.conn.address)
+		x.t.observe(Event{Kind: EventSilent, Address: x.conn.address, Err: errSilent})
+	}
 	if e := x.bodyErr.Load(); e != nil && x.ctx.Err() == nil {
 		return &LostError{Address: x.conn.address, Err: e}
 	}
-	return failure(x.ctx, x.conn, err)
+	return failure(x.ctx, x.conn.address, err)
 }
 
-// finish ends the exchange after the whole answer. The end of the request direction tells the peer that the answer
-// has arrived.
+// finish ends the exchange after the whole answer. A connection on which a part of the request is still to be sent can't
+// be kept.
 func (x *exchange) finish() {
-	if x.sent.Load() {
-		_ = x.stream.Close()
-	} else {
-		x.stream.CancelWrite(codeAnswered)
-	}
-	finishRead(x.stream)
-	x.end(true)
+	x.end(x.sent.Load(), nil)
 }
 
 // abandon gives up an exchange that has not ended.
 func (x *exchange) abandon() {
-	x.once.Do(func() {
-		reset(x.stream, codeCanceled)
-		x.release(true)
-	})
+	x.end(false, context.Canceled)
 }
 
 // send writes the header in b and the body. Bodies that are not in memory are sent by another goroutine. Errors of
-// the stream show again, with their reason, when the answer is read.
+// the connection show again, with their reason, when the answer is read.
 func (x *exchange) send(b *bytes.Buffer, body io.Reader) {
 	if !x.appendSmall(b, body) {
-		if _, err := x.stream.Write(b.Bytes()); err == nil {
+		if _, err := x.conn.Write(b.Bytes()); err == nil {
 			go x.sendBody(body)
 		}
 		return
 	}
-	if _, err := x.stream.Write(b.Bytes()); err == nil {
+	if _, err := x.conn.Write(b.Bytes()); err == nil {
 		x.sent.Store(true)
 	}
 }
@@ -193,17 +171,17 @@
 }
 
 func (x *exchange) sendBody(body io.Reader) {
-	_, err := copyFrames(x.stream, body)
+	_, err := copyFrames(x.conn, body)
 	var broken *BodyError
 	if errors.As(err, &broken) {
 		x.bodyErr.Store(broken)
-		reset(x.stream, codeBroken)
+		x.conn.Close() // the peer must not take the body for whole
 		return
 	}
 	if err != nil {
 		return
 	}
-	if _, err := x.stream.Write(wire.AppendEnd(nil)); err == nil {
+	if _, err := x.conn.Write(wire.AppendEnd(nil)); err == nil {
 		x.sent.Store(true)
 	}
 }
@@ -224,15 +202,14 @@
 		b.x.finish()
 		return n, io.EOF
 	}
-	reset(b.x.stream, codeCanceled)
-	b.x.end(false)
+	_ = b.x.fail(err) // the reader learns that the answer is cut
 	if b.x.ctx.Err() != nil {
 		return n, b.x.ctx.Err()
 	}
 	return n, io.ErrUnexpectedEOF
 }
 
-// Close implements io.Closer. It resets the stream unless the body was read to its end.
+// Close implements io.Closer. It closes the connection unless the body was read to its end.
 func (b *answerBody) Close() error {
 	b.x.abandon()
 	return nil
--- a/internal/transport/callstream.go
+++ b/internal/transport/callstream.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -8,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/quic-go/quic-go"
-
 	"guavapoint.example/guavapoint/internal/core/call"
 	"guavapoint.example/guavapoint/internal/wire"
 )
@@ -20,8 +19,9 @@
 // CallStream is the answering side of one call. Answer and Abort may be called while another goroutine reads Body.
 type CallStream struct {
 	header   *wire.CallHeader
-	stream   *quic.Stream
-	from     string
+	conn     *accepted
+	ctx      context.Context
+	cancel   context.CancelFunc
 	body     requestBody
 	answered atomic.Bool
 }
@@ -29,21 +29,21 @@
 // Header returns the header of the call. The caller may change it.
 func (s *CallStream) Header() *wire.CallHeader { return s.header }
 
-// From returns the UDP address that the call came from.
-func (s *CallStream) From() string { return s.from }
+// From returns the address that the call came from.
+func (s *CallStream) From() string { return s.conn.RemoteAddr().String() }
 
 // Body returns the body of the call. It returns io.EOF only after the caller's end mark, and io.ErrUnexpectedEOF when
 // the caller broke off. It must not be read after ServeCall has returned.
 func (s *CallStream) Body() io.Reader { return &s.body }
 
 // Context returns a context that ends when the caller cancels the call, when the connection ends, and after Answer or
-// Abort.
-func (s *CallStream) Context() context.Context { return s.stream.Context() }
+// Abort. While the body is neither read to its end nor being read, the end of the connection is not noticed.
+func (s *CallStream) Context() context.Context { return s.ctx }
 
 // Answer sends the answer. Where h.Outcome is call.OutcomeAnswered, it sends body (nil for none), then calls unspent
 // (nil for none) for the retries to give back. Otherwise body is ignored and the retries are sent in the header.
 //
-// When body or the connection fails, the stream is reset, so that the caller doesn't take the answer for complete. It
+// When body or the connection fails, the connection is closed, so that the caller doesn't take the answer for complete. It
 // returns ErrAnswered for a second answer, *wire.FieldError or *wire.SizeError, with nothing sent, for a header that
 // can't be encoded, *BodyError for a failure of body, and other errors for a caller that can't be reached.
 func (s *CallStream) Answer(h wire.AnswerHeader, body io.Reader, unspent func() int) error {
@@ -62,67 +62,90 @@
 	if !s.answered.CompareAndSwap(false, true) {
 		return ErrAnswered
 	}
-	a := &answerWriter{stream: s.stream, buffer: b, unspent: unspent}
+	a := &answerWriter{conn: s.conn, buffer: b, unspent: unspent}
 	var err error
 	if whole {
-		err = a.flush()
+		err = s.conn.writeLast(b.Bytes())
 	} else {
 		err = a.writeBody(body, h.BodyLength)
 	}
 	if err != nil {
-		reset(s.stream, codeAborted)
-		return err
+		s.conn.Close()
 	}
-	return s.stream.Close()
+	s.cancel()
+	return err
 }
 
-// Abort resets the stream. The caller sees a call without an answer, or a truncated answer.
+// Abort closes the connection. The caller sees a call without an answer, or a truncated answer.
 func (s *CallStream) Abort() {
-	reset(s.stream, codeAborted)
+	s.conn.Close()
+	s.cancel()
 }
 
-// endTimeout is added to the time that the caller waits (CallHeader.Timeout), to bound the wait for the caller's end of
-// the stream after the answer was written.
-const endTimeout = 5 * time.Second
-
-// maxTimeout is the longest time that a caller may wait, section 2.1 of the design.
-const maxTimeout = 10 * time.Minute
-
-// awaitEnd waits until the caller has received the answer, which it shows by ending its direction of the stream. What
-// it still sends of its body is discarded.
-func (s *CallStream) awaitEnd() {
-	_ = s.stream.SetReadDeadline(time.Now()) // interrupts a handler's goroutine that still reads the body
-	s.body.end()
-	wait := endTimeout + min(max(0, s.header.Timeout), maxTimeout)
-	_ = s.stream.SetReadDeadline(time.Now().Add(wait))
-	if _, err := io.Copy(io.Discard, s.stream); err != nil {
-		s.stream.CancelRead(codeAborted)
+// end ends the call after its handler has returned.
+func (s *CallStream) end() {
+	if !s.answered.Load() {
+		s.Abort()
+	}
+	if isClosed(s.body.read) {
+		return
+	}
+	_ = s.conn.SetReadDeadline(time.Now()) // interrupts a handler's goroutine that still reads the body
+	if s.body.end() {
+		return
 	}
+	// The caller still sends its body. It closes the connection once it has the answer.
+	_ = s.conn.SetReadDeadline(time.Now().Add(endTimeout))
+	s.conn.discardRest()
 }
 
 // requestBody reads the body of a call until ServeCall has returned.
 type requestBody struct {
 	mu     sync.Mutex
 	ended  bool
+	whole  bool
 	frames *wire.BodyReader
+	read   chan struct{} // closed when the body was read to its end
+	failed func()        // called when the body breaks off
+}
+
+// takeEnd reads the end of an empty body that has arrived with the header.
+func (b *requestBody) takeEnd(r *bufio.Reader) {
+	if r.Buffered() < wire.PrefixSize {
+		return
+	}
+	if next, err := r.Peek(wire.PrefixSize); err == nil && wire.IsEnd(next) {
+		_, _ = b.Read(make([]byte, 1)) // returns io.EOF
+	}
 }
 
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.whole {
+		return 0, io.EOF
+	}
 	if b.ended {
 		return 0, io.ErrUnexpectedEOF
 	}
 	n, err := b.frames.Read(p)
-	if err != nil && err != io.EOF {
+	switch err {
+	case nil:
+	case io.EOF:
+		b.whole = true
+		close(b.read)
+	default:
 		err = io.ErrUnexpectedEOF
+		b.failed()
 	}
 	return n, err
 }
 
-func (b *requestBody) end() {
+// end ends the reading, and reports whether the body was read to its end.
+func (b *requestBody) end() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ended = true
+	return b.whole
 }
--- a/internal/transport/doc.go
+++ b/internal/transport/doc.go
@@ -1,8 +1,9 @@
-// Package transport carries calls and control messages between daemons over QUIC with mutual TLS.
+// Package transport carries calls and control messages between daemons over TCP, with mutual TLS where the settings name
+// certificates.
 //
-// Each call has one stream. The caller ends its direction of the stream only after it has received the whole answer;
-// by this the answering side knows that nothing of the answer is in flight any more when it closes the connection.
+// A connection carries one exchange at a time and is kept for the next one. The caller gives an exchange up by closing
+// its connection. While the answer is still to come, the answering side sends signs of life, so that a connection that
+// went silent is told from a backend server that takes long, see Config.SilentAfter.
 //
-// A Transport keeps few connections to each peer, opens them on demand and drops them after an idle time. It detects
-// connections that went silent, see Config.SilentAfter. All exported methods are safe for concurrent use.
+// All exported methods are safe for concurrent use.
 package transport
--- a/internal/transport/observer.go
+++ b/internal/transport/observer.go
@@ -15,7 +15,7 @@
 	EventFailed
 	// EventSilent is a connection that was given up because nothing arrived on it.
 	EventSilent
-	// EventRejected is an incoming stream whose first message was refused.
+	// EventRejected is an incoming message that was refused.
 	EventRejected
 )
 
@@ -35,7 +35,7 @@
 // Event is reported to an Observer.
 type Event struct {
 	Kind EventKind
-	// Address is the peer's address; for an incoming connection its UDP source address.
+	// Address is the peer's address; for an incoming connection its source address.
 	Address string
 	// Incoming is set for connections that the peer opened.
 	Incoming bool
--- a/internal/transport/serve.go
+++ b/internal/transport/serve.go
@@ -2,158 +2,177 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
-	"sync/atomic"
+	"net"
 	"time"
 
-	"github.com/quic-go/quic-go"
-
 	"guavapoint.example/guavapoint/internal/wire"
 )
 
 // Handler serves the calls and control messages of peers. Its methods are called concurrently, one goroutine for each
-// stream, and must not panic.
+// exchange, and must not panic.
 type Handler interface {
 	// ServeCall serves one call. A call that is neither answered nor aborted when it returns is aborted.
 	ServeCall(s *CallStream)
-	// ServeControl serves a control message. from is the UDP address that the message came from, which differs from
-	// m.From where the peer sends from a new port. The reply of a message that came by Send is ignored. A nil reply
-	// or an error to a Request is sent as a Refusal; a *RefusalError chooses its code. Pings are answered by the
-	// transport. ctx ends when the peer gives up a Request, and for other messages when the transport stops.
+	// ServeControl serves a control message. from is the address that the message came from, whose port differs from that
+	// of m.From. The reply of a message that came by Send is ignored. A nil reply or an error to a Request is sent as a
+	// Refusal; a *RefusalError chooses its code. Pings are answered by the transport. ctx ends when the peer gives up a
+	// Request, and for other messages when the transport stops.
 	ServeControl(ctx context.Context, from string, m *wire.Control) (*wire.Control, error)
 }
 
-// handshakeKey finds the *handshake in a connection's context.
-type handshakeKey struct{}
-
-type handshake struct{ done atomic.Bool }
-
-// watchHandshake reports incoming connections whose handshake fails, such as those of a peer without a valid
-// certificate.
-func (t *Transport) watchHandshake(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
-	h := new(handshake)
-	ctx = context.WithValue(ctx, handshakeKey{}, h)
-	address := info.RemoteAddr.String()
-	context.AfterFunc(ctx, func() {
-		if !h.done.Load() && t.ctx.Err() == nil {
-			t.observe(Event{Kind: EventFailed, Address: address, Incoming: true, Err: context.Cause(ctx)})
-		}
-	})
-	return ctx, nil
-}
-
 // accept serves connections until the listener is closed.
 func (t *Transport) accept() {
 	for {
-		c, err := t.listen.Accept(t.ctx)
-		if err != nil {
+		raw, err := t.listen.Accept()
+		switch {
+		case t.ctx.Err() != nil:
 			return
+		case err != nil:
+			t.observe(Event{Kind: EventFailed, Address: t.Address(), Incoming: true, Err: err})
+			time.Sleep(acceptPause)
+		default:
+			t.tasks.Go(func() { t.serveConn(raw) })
 		}
-		if h, ok := c.Context().Value(handshakeKey{}).(*handshake); ok {
-			h.done.Store(true)
-		}
-		if !t.track(c) {
-			go func() { _ = c.CloseWithError(codeTooMany, "too many connections") }()
-			continue
-		}
-		go t.serveConn(c)
 	}
 }
 
-// track records an accepted connection. It reports false when there are too many.
-func (t *Transport) track(c *quic.Conn) bool {
+// acceptPause is the wait after a failure to accept, as for want of descriptors, which other connections may return.
+const acceptPause = 20 * time.Millisecond
+
+// serveConn serves the messages of one connection until it ends.
+func (t *Transport) serveConn(raw net.Conn) {
+	defer raw.Close()
+	secured, err := t.secure(raw)
+	if err != nil {
+		t.observe(Event{Kind: EventFailed, Address: raw.RemoteAddr().String(), Incoming: true, Err: err})
+		return
+	}
+	c := newAccepted(t, secured)
+	if !t.track(c) {
+		c.sayGoodbye()
+		return
+	}
+	defer t.untrack(c)
+	address := raw.RemoteAddr().String()
+	t.observe(Event{Kind: EventOpened, Address: address, Incoming: true})
+	for c.awaitMessage() && t.serveMessage(c) {
+	}
+	if c.refusing || t.isClosing() {
+		c.sayGoodbye()
+	}
+	t.observe(Event{Kind: EventClosed, Address: address, Incoming: true})
+}
+
+// secure performs the TLS handshake, where there are certificates, and proves to the peer that it was accepted.
+func (t *Transport) secure(raw net.Conn) (net.Conn, error) {
+	if t.cfg.TLS == nil {
+		return raw, nil
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, t.cfg.DialTimeout)
+	defer cancel()
+	secured := tls.Server(raw, serverTLS(t.cfg.TLS))
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return nil, err
+	}
+	_, err := secured.Write(wire.AppendSign(nil, wire.KindAlive))
+	return secured, err
+}
+
+// track records an accepted connection. It reports false when there are too many, or the transport is closing.
+func (t *Transport) track(c *accepted) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.accepted) >= t.cfg.MaxConnections {
+	if t.closing || len(t.accepted) >= t.cfg.MaxConnections {
 		return false
 	}
 	t.accepted[c] = struct{}{}
 	return true
 }
 
-func (t *Transport) serveConn(c *quic.Conn) {
-	address := c.RemoteAddr().String()
-	t.observe(Event{Kind: EventOpened, Address: address, Incoming: true})
-	ended := new(credits)
-	for {
-		s, err := c.AcceptStream(t.ctx)
-		if err != nil {
-			break
-		}
-		go func() {
-			defer ended.add(s)
-			t.serveStream(c, s)
-		}()
-	}
-	<-c.Context().Done()
+func (t *Transport) untrack(c *accepted) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	delete(t.accepted, c)
-	t.mu.Unlock()
-	t.observe(Event{Kind: EventClosed, Address: address, Incoming: true, Err: context.Cause(c.Context())})
 }
 
-// serveStream reads the first message of a stream and passes it on.
-func (t *Transport) serveStream(c *quic.Conn, s *quic.Stream) {
+func (t *Transport) isClosing() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.closing
+}
+
+// serveMessage reads a first message and serves the exchange. It reports whether another one may follow.
+func (t *Transport) serveMessage(c *accepted) bool {
 	if !t.beginIncoming() {
-		reset(s, codeRefused)
-		return
+		return false
 	}
-	defer t.endIncoming()
-	_ = s.SetReadDeadline(time.Now().Add(t.cfg.MessageTimeout))
-	m, err := wire.ReadFirst(s)
+	c.begin(t.cfg.MessageTimeout)
+	m, err := wire.ReadFirst(c.reader)
 	if err != nil {
-		reset(s, codeRefused)
-		t.reject(c, err)
-		return
+		t.endIncoming()
+		c.refusing = true
+		t.observe(Event{Kind: EventRejected, Address: c.RemoteAddr().String(), Incoming: true, Err: err})
+		return false
 	}
 	if m.Call != nil {
-		_ = s.SetReadDeadline(time.Time{})
-		t.serveCall(c, s, m.Call)
-		return
+		return t.serveCall(c, m.Call)
 	}
-	finishRead(s)
-	t.serveControl(c, s, m)
+	return t.serveControl(c, m)
 }
 
-// reject reports a first message that was refused. A sender that canceled, or whose connection ended, did no wrong.
-func (t *Transport) reject(c *quic.Conn, err error) {
-	var canceled *quic.StreamError
-	if errors.As(err, &canceled) || c.Context().Err() != nil {
-		return
-	}
-	t.observe(Event{Kind: EventRejected, Address: c.RemoteAddr().String(), Incoming: true, Err: err})
-}
+// Times that bound what a peer holds open.
+const (
+	// endTimeout is added to the time that the caller waits (CallHeader.Timeout) for what is sent between the ends.
+	endTimeout = 5 * time.Second
+	// maxTimeout is the longest time that a caller may wait, section 2.1 of the design.
+	maxTimeout = 10 * time.Minute
+)
 
-func (t *Transport) serveCall(c *quic.Conn, s *quic.Stream, h *wire.CallHeader) {
-	cs := &CallStream{header: h, stream: s, from: c.RemoteAddr().String()}
-	cs.body.frames = wire.NewRequestBody(s)
-	t.cfg.Handler.ServeCall(cs)
-	if !cs.answered.Load() {
-		cs.Abort()
-		return
-	}
-	cs.awaitEnd()
+func (t *Transport) serveCall(c *accepted, h *wire.CallHeader) bool {
+	end := time.Now().Add(endTimeout + min(max(0, h.Timeout), maxTimeout))
+	_ = c.SetDeadline(end) // fails for a closed connection, which the next read shows
+	s := &CallStream{header: h, conn: c}
+	s.body.frames = wire.NewRequestBody(c.reader)
+	s.body.read = make(chan struct{})
+	s.body.takeEnd(c.reader)
+	return c.run(s.body.read, func(ctx context.Context) {
+		s.ctx, s.cancel = context.WithCancel(ctx)
+		defer s.cancel()
+		s.body.failed = s.cancel
+		t.cfg.Handler.ServeCall(s)
+		s.end()
+	})
 }
 
-func (t *Transport) serveControl(c *quic.Conn, s *quic.Stream, m wire.Message) {
+// received is the channel of a request that has been read to its end.
+var received = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+func (t *Transport) serveControl(c *accepted, m wire.Message) bool {
 	from := c.RemoteAddr().String()
+	_ = c.SetDeadline(time.Now().Add(t.cfg.MessageTimeout)) // as above
 	if m.Kind == wire.KindNotice {
-		_ = s.Close() // tells the sender that the message was received
+		_, err := c.write(wire.AppendSign(nil, wire.KindReceived))
 		_, _ = t.cfg.Handler.ServeControl(t.ctx, from, m.Control)
-		return
+		c.endExchange()
+		return err == nil
 	}
-	reply := t.reply(s.Context(), from, m.Control)
-	b := newBuffer()
-	defer putBuffer(b)
-	if err := wire.WriteControl(b, wire.KindReply, reply); err != nil {
-		refusal := &wire.Refusal{Code: codeInvalidReply, Message: err.Error()}
-		_ = wire.WriteControl(b, wire.KindReply, &wire.Control{From: t.Address(), Refusal: refusal})
-	}
-	if _, err := s.Write(b.Bytes()); err != nil {
-		reset(s, codeAborted)
-		return
-	}
-	_ = s.Close()
+	return c.run(received, func(ctx context.Context) {
+		b := newBuffer()
+		defer putBuffer(b)
+		if err := wire.WriteControl(b, wire.KindReply, t.reply(ctx, from, m.Control)); err != nil {
+			refusal := &wire.Refusal{Code: codeInvalidReply, Message: err.Error()}
+			_ = wire.WriteControl(b, wire.KindReply, &wire.Control{From: t.Address(), Refusal: refusal})
+		}
+		if err := c.writeLast(b.Bytes()); err != nil {
+			c.Close()
+		}
+	})
 }
 
 // Codes of Refusals that the transport itself sends.
--- a/internal/transport/silence.go
+++ b/internal/transport/silence.go
@@ -1,58 +1,42 @@
 package transport
 
-import "time"
-
-// action is what a silence machine asks its owner to do.
-type action uint8
-
-const (
-	actionNone   action = iota
-	actionPing          // send a ping on the connection
-	actionGiveUp        // the connection is silent
+import (
+	"errors"
+	"net"
+	"os"
+	"time"
 )
 
-// silence decides when a connection with outstanding streams is silent. It is pure: its owner passes the time, whether
-// an answer is awaited and the number of packets received so far. Any packet counts as a sign of life, also the mere
-// acknowledgement of a ping, so that a backend server may run for long without an answer.
-type silence struct {
-	pingAfter   time.Duration
-	silentAfter time.Duration
+// errSilent reports that nothing arrived, although the peer sends signs of life while an answer is to come.
+var errSilent = errors.New("nothing was received for too long")
 
-	busy    bool
-	packets uint64
-	since   time.Time // last arrival, or the start of the wait
-	pinged  time.Time // zero before the ping
-	last    time.Time // previous step
+// silenceReader reads from a connection on which an answer is awaited, and fails with errSilent when nothing arrives for
+// the limit.
+type silenceReader struct {
+	conn  net.Conn
+	limit time.Duration
+	now   func() time.Time
 }
 
-func newSilence(pingAfter, silentAfter time.Duration) silence {
-	return silence{pingAfter: pingAfter, silentAfter: silentAfter}
-}
-
-// step advances the machine. Steps are expected several times within pingAfter.
-func (s *silence) step(now time.Time, busy bool, packets uint64) action {
-	// A gap between steps means that this process was paused. Packets that arrived meanwhile may be unread.
-	paused := now.Sub(s.last) > s.pingAfter
-	if !busy || !s.busy || packets != s.packets || paused {
-		s.restart(now, busy, packets)
-		return actionNone
-	}
-	s.last = now
-	switch {
-	case s.pinged.IsZero() && now.Sub(s.since) >= s.pingAfter:
-		s.pinged = now
-		return actionPing
-	case now.Sub(s.since) >= s.silentAfter && now.Sub(s.pinged) >= s.silentAfter-s.pingAfter:
-		return actionGiveUp
-	default:
-		return actionNone
+// Read implements io.Reader.
+func (s *silenceReader) Read(p []byte) (int, error) {
+	for {
+		armed := s.now()
+		if err := s.conn.SetReadDeadline(armed.Add(s.limit)); err != nil {
+			return 0, err
+		}
+		n, err := s.conn.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if !pausedWithin(armed, s.now(), s.limit) {
+			return 0, errSilent
+		}
 	}
 }
 
-func (s *silence) restart(now time.Time, busy bool, packets uint64) {
-	s.busy = busy
-	s.packets = packets
-	s.since = now
-	s.last = now
-	s.pinged = time.Time{}
+// pausedWithin reports whether a wait for the limit ended so late that this process must have been paused. What arrived
+// meanwhile is unread then, so the peer is not silent.
+func pausedWithin(armed, now time.Time, limit time.Duration) bool {
+	return now.Sub(armed) > limit+limit/2
 }
--- a/internal/wire/body.go
+++ b/internal/wire/body.go
@@ -20,9 +20,12 @@
 
 // AppendEnd appends the end frame of a request body to dst.
 func AppendEnd(dst []byte) []byte {
-	return append(dst, byte(KindEnd), 0, 0, 0, 0)
+	return AppendSign(dst, KindEnd)
 }
 
+// IsEnd reports whether a prefix is that of the end frame of a request body.
+func IsEnd(prefix []byte) bool { return Kind(prefix[0]) == KindEnd }
+
 // BodyReader reads the frames of a body up to its end. It is not safe for concurrent use.
 type BodyReader struct {
 	r       io.Reader
@@ -86,6 +89,8 @@
 	case k == KindBody:
 		b.left = n
 		return nil
+	case k == KindAlive && b.last == KindTrailer:
+		return nil
 	case k == KindEnd && b.last == KindEnd:
 		return io.EOF
 	case k == KindTrailer && b.last == KindTrailer:
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 
 	"github.com/fxamacker/cbor/v2"
@@ -106,8 +107,8 @@
 // ReadFirst reads the first message of a stream: a call header, a control request or a control notice.
 //
 // All Read functions return io.EOF for a stream that ends before the message, io.ErrUnexpectedEOF for one that ends
-// within it, and *KindError, *SizeError, *CodecError or *FieldError for a message that is refused. Other errors are
-// those of r.
+// within it, and *KindError, *SizeError, *CodecError or *FieldError for a message that is refused. Those that read an
+// answer skip signs of life and return ErrGoodbye where the peer gives none. Other errors are those of r.
 func ReadFirst(r io.Reader) (Message, error) {
 	var scratch [PrefixSize]byte
 	k, n, err := readPrefix(r, &scratch)
@@ -146,15 +147,51 @@
 }
 
 func readOne(r io.Reader, want Kind, v validator) error {
-	var scratch [PrefixSize]byte
-	k, n, err := readPrefix(r, &scratch)
+	n, err := readKind(r, want)
 	if err != nil {
 		return err
 	}
-	if k != want {
-		return &KindError{Got: k, Want: want.String()}
+	return readPayload(r, want, n, v)
+}
+
+// ErrGoodbye reports that the peer has said, in place of an answer, that it serves nothing more on the connection. It
+// has not handled what was sent.
+var ErrGoodbye = errors.New("the peer serves nothing more on the connection")
+
+// readKind reads the prefix of the answer to a message, after any number of signs of life, and returns the length of its
+// payload.
+func readKind(r io.Reader, want Kind) (int, error) {
+	var scratch [PrefixSize]byte
+	for {
+		k, n, err := readPrefix(r, &scratch)
+		switch {
+		case err != nil:
+			return 0, err
+		case k == want:
+			return n, nil
+		case k == KindGoodbye:
+			return 0, ErrGoodbye
+		case k != KindAlive:
+			return 0, &KindError{Got: k, Want: want.String()}
+		}
 	}
-	return readPayload(r, k, n, v)
+}
+
+// AppendSign appends a message without payload to dst: KindEnd, KindAlive, KindReceived or KindGoodbye.
+func AppendSign(dst []byte, k Kind) []byte {
+	return append(dst, byte(k), 0, 0, 0, 0)
+}
+
+// ReadReceipt reads the receipt of a control notice.
+func ReadReceipt(r io.Reader) error {
+	_, err := readKind(r, KindReceived)
+	return err
+}
+
+// ReadAlive reads one sign of life.
+func ReadAlive(r io.Reader) error {
+	_, err := readKind(r, KindAlive)
+	return err
 }
 
 // readPayload decodes a payload of n bytes into v. The buffer grows with the bytes that arrive, so that an announced
--- a/internal/wire/kind.go
+++ b/internal/wire/kind.go
@@ -19,6 +19,11 @@
 	KindRequest      Kind = 6 // a Control message that is answered by one
 	KindNotice       Kind = 7 // a Control message without an answer
 	KindReply        Kind = 8 // the Control message that answers a KindRequest
+
+	// Signs between the ends of a connection, without payload.
+	KindAlive    Kind = 9  // the answer is still to come
+	KindReceived Kind = 10 // a KindNotice has arrived
+	KindGoodbye  Kind = 11 // the sender serves nothing more on this connection
 )
 
 var kindNames = map[Kind]string{
@@ -30,6 +35,9 @@
 	KindRequest:      "control request",
 	KindNotice:       "control notice",
 	KindReply:        "control reply",
+	KindAlive:        "sign of life",
+	KindReceived:     "receipt",
+	KindGoodbye:      "goodbye",
 }
 
 // String returns the name used in errors.
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -55,8 +55,7 @@
 
 	TraceParent string        `cbor:"13,keyasint,omitempty"`
 	Config      ConfigVersion `cbor:"14,keyasint"`
-	// From is the peer address of the caller's daemon. The UDP source address may be another one, because a connection can
-	// be opened from any local port.
+	// From is the peer address of the caller's daemon. The connection comes from another port.
 	From string `cbor:"15,keyasint,omitempty"`
 	// Minted marks a token that the caller's daemon has made itself, for a caller that holds none. The upstream's daemon
 	// takes it as issued.
