Pass over upstreams that fail alone, and call the store less

Change: the daemon beside the backend server reports the share of its recent failures with each answer; an upstream above the mean of the others is passed over, probed by repeatable requests, and its failures are repeated elsewhere. Summaries are read as possibly stale lists, only relays watch the configuration, daemons that start together spread their looks. A request that still runs after its connection broke is asked for until its deadline.

--- a/internal/control/configsync.go
+++ b/internal/control/configsync.go
@@ -93,6 +93,12 @@
 	return s.source.Key
 }
 
+// Known reports whether a configuration is in effect.
+func (s *ConfigSync) Known() bool {
+	_, doc := s.holder.Current()
+	return doc != nil
+}
+
 // Version returns the version in effect for the messages that the daemon sends.
 func (s *ConfigSync) Version() wire.ConfigVersion {
 	v, _ := s.holder.Current()
--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -130,6 +130,7 @@
 }
 
 func (s *fakeStore) List(context.Context, string) ([]store.KV, int64, error)     { panic("unused") }
+func (s *fakeStore) ListStale(context.Context, string) ([]store.KV, error)       { panic("unused") }
 func (s *fakeStore) Delete(context.Context, string) error                        { panic("unused") }
 func (s *fakeStore) Grant(context.Context, time.Duration) (store.LeaseID, error) { panic("unused") }
 func (s *fakeStore) KeepAlive(context.Context, store.LeaseID) error              { panic("unused") }
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
@@ -26,10 +25,15 @@
 	competeInterval = 5 * time.Second
 	// raceInterval spaces the looks of candidates that compete at the same time, as after a common start.
 	raceInterval = 500 * time.Millisecond
-	// configWatchers is the number of members of a zone that follow the configuration in the store themselves. The others
-	// take it from their peers. More watchers than relays keep it quick when relays are lost; if all watched, the calls
-	// would grow with the fleet.
-	configWatchers = 16
+	// configReadAfter is the time without any configuration after which a daemon that is no relay reads it from the store:
+	// its peers then have none for it, or it has not found them. configReadInterval spaces the further reads.
+	configReadAfter    = 3 * time.Second
+	configReadInterval = 5 * time.Second
+	// zonesInterval spaces the reads of the other zones' summaries. A read of content that may be stale costs a tenth of a
+	// watch, which would also end with each of the many changes while a deployment starts.
+	zonesInterval = time.Second
+	// startSpread is the time over which the daemons of a zone that start together look for its leases.
+	startSpread = 500 * time.Millisecond
 	// outageAfter is the time without a successful call after which the platform counts as down.
 	outageAfter = 10 * time.Second
 	// exchangeInterval spaces direct exchanges while the platform works. They correct records that a summary can't:
@@ -39,6 +43,9 @@
 	outageExchangeInterval = 5 * time.Second
 	// summaryInterval is the least time between two summaries.
 	summaryInterval = time.Second
+	// summaryStagger delays the summary of each further relay of a zone, which writes only what the ones before it have
+	// not written. It covers the write and the reads of two intervals.
+	summaryStagger = 2500 * time.Millisecond
 	// summaryRate spaces the summaries of large zones, in bytes per second, so that a zone that starts doesn't
 	// write its whole table every second to all relays of the other zones.
 	summaryRate = 2 << 10
@@ -76,9 +83,15 @@
 	lastOK       time.Time // last successful call
 	nextExchange time.Time
 	nextSummary  time.Time
-	summaryHash  uint64            // of the last summary written
+	nextZones    time.Time
+	nextConfig   time.Time
+	place        int    // number of the lease that is held
+	summaryHash  uint64 // of the last summary written
+	pendingHash  uint64 // of the zone, since pendingSince
+	pendingSince time.Time
 	summaryRev   int64             // of this relay's key, 0 if unknown or absent
 	ownZone      map[string]uint64 // zone hash by key, of the summaries of this zone's relays
+	summaries    map[string]int64  // revision by key, of the summaries that were read
 }
 
 // NewRelay returns a Relay. report, which may be nil, receives the errors that the relay recovers from itself.
@@ -89,7 +102,8 @@
 	}
 	return &Relay{
 		store: store, members: members, configs: configs, now: now, rng: rng, report: report,
-		lastOK: now(), lastRank: relayCandidates, ownZone: make(map[string]uint64),
+		lastOK: now(), lastRank: relayCandidates, ownZone: make(map[string]uint64), summaries: make(map[string]int64),
+		nextLease: now().Add(time.Duration(rng.Int64N(int64(startSpread)))), nextConfig: now().Add(configReadAfter),
 	}
 }
 
@@ -114,13 +128,39 @@
 	if !now.Before(r.nextLease) {
 		r.stepLease(ctx, now)
 	}
+	if r.Active() && !now.Before(r.nextZones) {
+		r.nextZones = now.Add(zonesInterval)
+		r.readZones(ctx, now)
+	}
 	if r.Active() && !now.Before(r.nextSummary) {
 		r.nextSummary = now.Add(summaryInterval)
 		r.summarize(ctx, now)
 	}
+	if !r.Active() && !now.Before(r.nextConfig) {
+		r.nextConfig = now.Add(configReadInterval)
+		r.readConfig(ctx, now)
+	}
 	r.exchange(now)
 }
 
+// readConfig reads the configuration while none is known.
+func (r *Relay) readConfig(ctx context.Context, now time.Time) {
+	if r.configs.Known() {
+		return
+	}
+	kv, err := r.store.Get(ctx, r.configs.Key())
+	if errors.Is(err, store.ErrNotFound) {
+		return // the operator has not written one yet
+	}
+	r.note(now, "read the configuration", err)
+	if err != nil {
+		return
+	}
+	if err := r.configs.FromStore(kv); err != nil {
+		r.report(fmt.Errorf("%s: %w", kv.Key, err))
+	}
+}
+
 func (r *Relay) stepLease(ctx context.Context, now time.Time) {
 	if r.lease != 0 {
 		r.nextLease = now.Add(renewInterval)
@@ -178,29 +218,51 @@
 
 // compete takes a free lease of the zone, if there is one.
 func (r *Relay) compete(ctx context.Context, now time.Time) {
-	self := r.members.Self()
-	prefix := relaysPrefix + self.Zone + "/"
-	kvs, _, err := r.store.List(ctx, prefix)
+	prefix := relaysPrefix + r.members.Self().Zone + "/"
+	kvs, err := r.store.ListStale(ctx, prefix)
+	r.note(now, "list the relay leases", err)
+	if err != nil {
+		return
+	}
+	r.join(now, kvs)
+	if _, _, free := r.freeLease(kvs); !free {
+		return
+	}
+	kvs, _, err = r.store.List(ctx, prefix) // the first list may be stale
 	r.note(now, "list the relay leases", err)
 	if err != nil {
 		return
 	}
 	r.join(now, kvs)
-	taken := make(map[string]int64, len(kvs))
+	if place, revision, free := r.freeLease(kvs); free {
+		r.take(ctx, now, place, revision)
+	}
+}
+
+// freeLease returns the number of a lease of the zone that nobody holds, or one that an earlier daemon at this address has
+// left, and the revision of its key.
+func (r *Relay) freeLease(kvs []store.KV) (place int, revision int64, free bool) {
+	self := r.members.Self()
+	held := make(map[string]store.KV, len(kvs))
 	for _, kv := range kvs {
-		if string(kv.Value) == self.Address {
-			r.take(ctx, now, kv.Key, kv.Revision, self.Address) // left by an earlier daemon at this address
-			return
+		held[kv.Key] = kv
+	}
+	for i := range relaysPerZone {
+		if kv := held[leaseKey(self.Zone, i)]; string(kv.Value) == self.Address {
+			return i, kv.Revision, true
 		}
-		taken[kv.Key] = kv.Revision
 	}
 	for i := range relaysPerZone {
-		key := fmt.Sprintf("%s%d", prefix, i)
-		if taken[key] == 0 {
-			r.take(ctx, now, key, 0, self.Address)
-			return
+		if held[leaseKey(self.Zone, i)].Revision == 0 {
+			return i, 0, true
 		}
 	}
+	return 0, 0, false
+}
+
+// leaseKey returns the key of one of the zone's leases.
+func leaseKey(zone string, place int) string {
+	return fmt.Sprintf("%s%s/%d", relaysPrefix, zone, place)
 }
 
 // join tells the membership the addresses of the zone's relays, through which a daemon that has just started finds the
@@ -230,15 +292,17 @@
 	return true
 }
 
-func (r *Relay) take(ctx context.Context, now time.Time, key string, revision int64, address string) {
+func (r *Relay) take(ctx context.Context, now time.Time, place int, revision int64) {
+	self := r.members.Self()
 	id, err := r.store.Grant(ctx, leaseTTL)
 	r.note(now, "grant a relay lease", err)
 	if err != nil {
 		return
 	}
-	_, err = r.store.CompareAndSwap(ctx, key, revision, []byte(address), id)
+	_, err = r.store.CompareAndSwap(ctx, leaseKey(self.Zone, place), revision, []byte(self.Address), id)
 	r.note(now, "take a relay lease", err)
 	if err == nil {
+		r.place = place
 		r.setLease(id, now.Add(leaseTTL))
 		r.nextLease = now.Add(renewInterval)
 		return
@@ -247,58 +311,6 @@
 	r.nextLease = now.Add(raceInterval/2 + r.spread(raceInterval))
 }
 
-func (r *Relay) summaryKey() string {
-	self := r.members.Self()
-	return zonesPrefix + self.Zone + "/" + self.Address
-}
-
-// summarize writes the zone's summary if it changed and no other relay of the zone has written the same.
-func (r *Relay) summarize(ctx context.Context, now time.Time) {
-	hash := r.members.ZoneHash(r.members.Self().Zone)
-	if hash == r.summaryHash || r.writtenByOther(hash) {
-		return
-	}
-	data, err := membership.Encode(r.members.Summary(now))
-	if err != nil {
-		r.report(fmt.Errorf("encode the zone's summary: %w", err))
-		return
-	}
-	spacing := time.Duration(len(data)) * time.Second / summaryRate
-	r.nextSummary = now.Add(max(summaryInterval, spacing) + r.spread(summaryInterval/2))
-	rev, err := r.store.CompareAndSwap(ctx, r.summaryKey(), r.summaryRev, data, r.lease)
-	r.note(now, "write the zone's summary", err)
-	switch {
-	case err == nil:
-		r.summaryRev, r.summaryHash = rev, hash
-	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrUnknown):
-		r.findSummary(ctx, now)
-	}
-}
-
-// findSummary looks up the revision of this relay's key, after which the summary is written again.
-func (r *Relay) findSummary(ctx context.Context, now time.Time) {
-	kv, err := r.store.Get(ctx, r.summaryKey())
-	if errors.Is(err, store.ErrNotFound) {
-		kv, err = store.KV{}, nil
-	}
-	r.note(now, "read the zone's summary", err)
-	if err == nil {
-		r.summaryRev = kv.Revision
-	}
-}
-
-func (r *Relay) writtenByOther(hash uint64) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	own := r.summaryKey()
-	for key, h := range r.ownZone {
-		if key != own && h == hash {
-			return true
-		}
-	}
-	return false
-}
-
 // exchange compares tables directly with a member of another zone: seldom while the platform works, often when it is
 // down. In an outage the first candidates act without a lease.
 func (r *Relay) exchange(now time.Time) {
@@ -322,71 +334,31 @@
 // WatchConfig reads the configuration and follows it until the context or the watch ends.
 func (r *Relay) WatchConfig(ctx context.Context) error {
 	key := r.configs.Key()
-	return r.follow(ctx, key, func(kv store.KV) error {
-		if kv.Key != key {
-			return nil
-		}
-		return r.configs.FromStore(kv)
-	})
-}
-
-// WatchZones reads the summaries of all zones and follows them until the context or the watch ends.
-func (r *Relay) WatchZones(ctx context.Context) error {
-	r.mu.Lock()
-	clear(r.ownZone)
-	r.mu.Unlock()
-	return r.follow(ctx, zonesPrefix, r.applySummary)
-}
-
-// follow lists a prefix and watches it from the revision of the list. Errors of apply are reported.
-func (r *Relay) follow(ctx context.Context, prefix string, apply func(store.KV) error) error {
-	kvs, rev, err := r.store.List(ctx, prefix)
-	r.note(r.now(), "list "+prefix, err)
+	kvs, rev, err := r.store.List(ctx, key)
+	r.note(r.now(), "read the configuration", err)
 	if err != nil {
 		return err
 	}
 	handle := func(kvs []store.KV) error {
 		for _, kv := range kvs {
-			if err := apply(kv); err != nil {
+			if kv.Key != key {
+				continue
+			}
+			if err := r.configs.FromStore(kv); err != nil {
 				r.report(fmt.Errorf("%s: %w", kv.Key, err))
 			}
 		}
 		return nil
 	}
 	_ = handle(kvs) // never fails
-	return r.store.Watch(ctx, prefix, rev+1, handle)
-}
-
-// applySummary merges another zone's summary, and remembers what this zone's other relays have written.
-func (r *Relay) applySummary(kv store.KV) error {
-	self := r.members.Self()
-	own := strings.HasPrefix(kv.Key, zonesPrefix+self.Zone+"/")
-	if kv.Deleted {
-		r.mu.Lock()
-		delete(r.ownZone, kv.Key)
-		r.mu.Unlock()
-		return nil
-	}
-	m, err := membership.Decode(kv.Value)
-	if err != nil {
-		return err
-	}
-	if own {
-		r.mu.Lock()
-		r.ownZone[kv.Key] = membership.HashRecords(m.Records)
-		r.mu.Unlock()
-		return nil
-	}
-	r.members.Step(r.now(), m)
-	return nil
+	return r.store.Watch(ctx, key, rev+1, handle)
 }
 
 // Run steps the relay every interval and watches while it holds a lease, until the context ends.
 func (r *Relay) Run(ctx context.Context, interval time.Duration) {
 	var watches sync.WaitGroup
 	defer watches.Wait()
-	watches.Go(func() { r.keepWatching(ctx, r.followsConfig, r.WatchConfig) })
-	watches.Go(func() { r.keepWatching(ctx, r.Active, r.WatchZones) })
+	watches.Go(func() { r.keepWatching(ctx, r.Active, r.WatchConfig) })
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -399,11 +371,6 @@
 	}
 }
 
-// followsConfig reports whether this daemon follows the configuration in the store.
-func (r *Relay) followsConfig() bool {
-	return r.rank() < configWatchers
-}
-
 // keepWatching watches while the condition holds when a watch begins.
 func (r *Relay) keepWatching(ctx context.Context, condition func() bool, watch func(context.Context) error) {
 	for ctx.Err() == nil {
--- /dev/null
+++ b/internal/control/summaries.go
@@ -0,0 +1,112 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/membership"
+	"guavapoint.example/guavapoint/internal/store"
+)
+
+// readZones reads the summaries that have changed.
+func (r *Relay) readZones(ctx context.Context, now time.Time) {
+	kvs, err := r.store.ListStale(ctx, zonesPrefix)
+	r.note(now, "read the summaries of the zones", err)
+	if err != nil {
+		return
+	}
+	present := make(map[string]bool, len(kvs))
+	for _, kv := range kvs {
+		present[kv.Key] = true
+		if kv.Revision <= r.summaries[kv.Key] {
+			continue // read already, or older
+		}
+		r.summaries[kv.Key] = kv.Revision
+		if err := r.applySummary(kv); err != nil {
+			r.report(fmt.Errorf("%s: %w", kv.Key, err))
+		}
+	}
+	r.forgetSummaries(present)
+}
+
+// forgetSummaries drops what was read of summaries that are gone.
+func (r *Relay) forgetSummaries(present map[string]bool) {
+	for key := range r.summaries {
+		if !present[key] {
+			delete(r.summaries, key)
+			delete(r.ownZone, key)
+		}
+	}
+}
+
+func (r *Relay) summaryKey() string {
+	self := r.members.Self()
+	return zonesPrefix + self.Zone + "/" + self.Address
+}
+
+// summarize writes the zone's summary if it changed and no other relay of the zone has written the same.
+func (r *Relay) summarize(ctx context.Context, now time.Time) {
+	hash := r.members.ZoneHash(r.members.Self().Zone)
+	if hash != r.pendingHash {
+		r.pendingHash, r.pendingSince = hash, now
+	}
+	if hash == r.summaryHash || r.writtenByOther(hash) || now.Sub(r.pendingSince) < time.Duration(r.place)*summaryStagger {
+		return
+	}
+	data, err := membership.Encode(r.members.Summary(now))
+	if err != nil {
+		r.report(fmt.Errorf("encode the zone's summary: %w", err))
+		return
+	}
+	spacing := time.Duration(len(data)) * time.Second / summaryRate
+	r.nextSummary = now.Add(max(summaryInterval, spacing) + r.spread(summaryInterval/2))
+	rev, err := r.store.CompareAndSwap(ctx, r.summaryKey(), r.summaryRev, data, r.lease)
+	r.note(now, "write the zone's summary", err)
+	switch {
+	case err == nil:
+		r.summaryRev, r.summaryHash = rev, hash
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrUnknown):
+		r.findSummary(ctx, now)
+	}
+}
+
+// findSummary looks up the revision of this relay's key, after which the summary is written again.
+func (r *Relay) findSummary(ctx context.Context, now time.Time) {
+	kv, err := r.store.Get(ctx, r.summaryKey())
+	if errors.Is(err, store.ErrNotFound) {
+		kv, err = store.KV{}, nil
+	}
+	r.note(now, "read the zone's summary", err)
+	if err == nil {
+		r.summaryRev = kv.Revision
+	}
+}
+
+func (r *Relay) writtenByOther(hash uint64) bool {
+	own := r.summaryKey()
+	for key, h := range r.ownZone {
+		if key != own && h == hash {
+			return true
+		}
+	}
+	return false
+}
+
+// applySummary merges another zone's summary, and remembers what this zone's other relays have written.
+func (r *Relay) applySummary(kv store.KV) error {
+	self := r.members.Self()
+	own := strings.HasPrefix(kv.Key, zonesPrefix+self.Zone+"/")
+	m, err := membership.Decode(kv.Value)
+	if err != nil {
+		return err
+	}
+	if own {
+		r.ownZone[kv.Key] = membership.HashRecords(m.Records)
+		return nil
+	}
+	r.members.Step(r.now(), m)
+	return nil
+}
--- a/internal/core/routing/picker.go
+++ b/internal/core/routing/picker.go
@@ -57,6 +57,8 @@
 	Bytes int64
 	// Upload marks an operation whose request body is large. Uploads are limited to their share of the link.
 	Upload bool
+	// Repeatable marks an idempotent request, which may be sent again where it fails.
+	Repeatable bool
 	// Exclude holds addresses that have refused this request already.
 	Exclude []string
 }
@@ -72,6 +74,8 @@
 	Bytes int64
 	// Load is the upstream's running and waiting requests relative to its limit, from the response; negative if unknown.
 	Load float64
+	// Failing is the share of the upstream's recent requests that failed, from 0 to 1, from the response.
+	Failing float64
 }
 
 // Picker chooses among the upstreams of one service.
@@ -172,6 +176,7 @@
 	}
 	u.recordHint(now, r)
 	u.recordLoad(now, r)
+	u.recordFailing(now, r)
 	if r.Outcome == call.OutcomeNotRun && r.Reason == call.ReasonLeaving {
 		u.leavingUntil = now.Add(leavingTTL)
 	}
@@ -202,18 +207,22 @@
 		if u.refuses(now, q.Rank) {
 			continue
 		}
-		p.consider(&cs, now, u)
+		p.consider(&cs, now, u, q)
 	}
 	return cs, present
 }
 
 // consider adds an upstream to the choices, by its score where it has room and by its wait where it has none.
-func (p *Picker) consider(cs *choices, now time.Time, u *upstream) {
+func (p *Picker) consider(cs *choices, now time.Time, u *upstream, q Query) {
 	load := p.load(now, u)
 	if load > spillAt[u.tier] {
 		cs.addFull(u, p.wait(now, u, load))
 		return
 	}
+	if p.outlier(now, u) && !p.mayProbeFailing(now, u, q) {
+		cs.addFull(u, p.wait(now, u, load+1))
+		return
+	}
 	cs.add(u, p.score(now, u), p.rng)
 }
 
@@ -225,7 +234,7 @@
 	var cs choices
 	for _, u := range p.upstreams {
 		if u.usable(now, q.Exclude) {
-			p.consider(&cs, now, u)
+			p.consider(&cs, now, u, q)
 		}
 	}
 	return cs.best()
--- a/internal/core/routing/upstream.go
+++ b/internal/core/routing/upstream.go
@@ -55,6 +55,9 @@
 	loadAt       time.Time
 	sentAtReport int // inFlight at loadAt
 
+	failRate   float64 // share of recent requests that failed, at failRateAt
+	failRateAt time.Time
+
 	leavingUntil time.Time
 	health       health
 }
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -130,7 +130,7 @@
 	if b.announced != nil {
 		req.Host = req.Header.Get(hostField)
 		req.Header.Del(hostField)
-		platform.PrepareRequest(req.Header, v.deadline.Sub(b.now()), b.announced.current().ID)
+		platform.PrepareRequest(req.Header, v.deadline.Sub(b.now())-deadlineMargin, b.announced.current().ID)
 		return req, nil
 	}
 	req.Header.Set(headerContext, hopContext)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -248,6 +248,7 @@
 		suspects:    d.suspects,
 		hops:        d.hops,
 		backend:     d.backend,
+		failures:    &failures{now: d.now},
 		report:      report,
 		now:         d.now,
 	}
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -110,7 +111,8 @@
 }
 
 func (d *dispatcher) query(req *request, body *requestBody, tried []string) routing.Query {
-	return routing.Query{Rank: req.rank, Bytes: max(body.length, 0), Upload: req.op.Upload, Exclude: tried}
+	return routing.Query{Rank: req.rank, Bytes: max(body.length, 0), Upload: req.op.Upload, Repeatable: req.op.Idempotent,
+		Exclude: tried}
 }
 
 // pickReason translates an error of the picker.
@@ -151,14 +153,7 @@
 	d.mu.Lock()
 	wait := retry.Backoff(attempt, d.rng)
 	d.mu.Unlock()
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause(ctx, wait)
 }
 
 // send sends a call once and interprets what comes back. It calls report once.
@@ -239,7 +234,7 @@
 	report func(routing.Result)) attempt {
 	h := &answer.Header
 	r := routing.Result{Latency: took, Outcome: h.Outcome, Reason: h.Reason, Cutoff: h.Cutoff, Bytes: max(h.BodyLength, 0),
-		Load: float64(h.Load) / 100}
+		Load: float64(h.Load) / 100, Failing: float64(h.Failing) / 100}
 	if h.Outcome != call.OutcomeAnswered {
 		answer.Body.Close()
 		req.account.Return(min(h.Unspent, granted))
@@ -262,7 +257,13 @@
 			req.account.Return(min(answer.Unspent(), granted))
 		}
 	}
-	return attempt{result: res, sent: true}
+	return attempt{result: res, sent: true, retry: d.failsAlone(req, address, h.Status)}
+}
+
+// failsAlone reports whether an error was answered by an upstream that fails more than the others of its service. Another
+// upstream then most likely succeeds; where all fail alike, a repetition would only add load.
+func (d *dispatcher) failsAlone(req *request, address string, status int) bool {
+	return status >= http.StatusInternalServerError && d.services.get(req.service, req.op.Name).outlier(d.now(), address)
 }
 
 // worthRetry reports whether another upstream may answer an idempotent request.
--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -39,6 +39,10 @@
 // close connections themselves.
 const ingressIdleTimeout = 60 * time.Second
 
+// deadlineMargin is added to the time that a caller says it waits. Callers give it in whole milliseconds, rounded down, and
+// a request at which the upstream works must not be given up before its caller's deadline.
+const deadlineMargin = 3 * time.Millisecond
+
 // hostField carries the host of a request between daemons. net/http keeps it apart from the other fields.
 const hostField = "Host"
 
@@ -190,8 +194,8 @@
 func (i *ingress) request(r *http.Request, found *route.Route, started time.Time) *request {
 	wait := found.Timeout
 	asked, ok := platform.Timeout(r.Header)
-	if ok && (wait == 0 || asked < wait) {
-		wait = asked
+	if ok && (wait == 0 || asked+deadlineMargin < wait) {
+		wait = asked + deadlineMargin
 	}
 	if wait == 0 {
 		wait = maxTimeout
--- a/internal/daemon/minted.go
+++ b/internal/daemon/minted.go
@@ -23,6 +23,8 @@
 	mintedMaxBytes = 16 << 20
 	// resolveTimeout bounds the question for an outcome. It covers a new connection between regions.
 	resolveTimeout = 500 * time.Millisecond
+	// settleInterval spaces the questions for a request that still runs. Requests take a few hundred milliseconds.
+	settleInterval = 100 * time.Millisecond
 )
 
 // outcomeConfig returns the bounds of the token table. With an ingress nearly all tokens are minted.
@@ -63,7 +65,7 @@
 			service.done(d.now(), target.Address, r)
 		})
 		if a.sent && lost(a) && a.reason != call.ReasonTimeout {
-			a = d.settle(req, a)
+			a = d.settle(ctx, req, a)
 		}
 		last = a.result
 		if a.outcome != call.OutcomeNotRun || !a.retry || !d.mayRepeat(ctx, req, service, body, a, n) {
@@ -72,13 +74,35 @@
 	}
 }
 
-// settle asks what became of a request whose answer is missing. A request that had not started never will.
-func (d *dispatcher) settle(req *request, a attempt) attempt {
+// settle asks what became of a request whose answer is missing. A request that had not started never will. One that still
+// runs is asked for again until its caller's deadline, since its answer can be delivered.
+func (d *dispatcher) settle(ctx context.Context, req *request, a attempt) attempt {
+	for {
+		res := d.ask(req, a)
+		switch {
+		case res.outcome == call.OutcomeNotRun:
+			return attempt{result: notRun(call.ReasonTokenRefused), sent: true, retry: true}
+		case res.reason != call.ReasonStillRunning || !pause(ctx, settleInterval):
+			return attempt{result: res, sent: true}
+		}
+	}
+}
+
+// ask asks once.
+func (d *dispatcher) ask(req *request, a attempt) *result {
 	ctx, cancel := context.WithDeadline(context.Background(), d.now().Add(resolveTimeout))
 	defer cancel()
-	res := d.resolve(ctx, req, a)
-	if res.outcome == call.OutcomeNotRun {
-		return attempt{result: notRun(call.ReasonTokenRefused), sent: true, retry: true}
+	return d.resolve(ctx, req, a)
+}
+
+// pause waits, and reports false when the context ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return attempt{result: res, sent: true}
 }
--- a/internal/daemon/result.go
+++ b/internal/daemon/result.go
@@ -54,10 +54,19 @@
 }
 
 // worse combines the outcomes of two attempts of one request. The request is proved not to have run only if
-// neither attempt ran.
+// neither attempt ran. An answer is kept unless the later attempt brings one.
 func worse(earlier, later *result) *result {
-	if earlier != nil && earlier.outcome == call.OutcomeUnknown && later.outcome == call.OutcomeNotRun {
+	switch {
+	case earlier == nil:
+		return later
+	case earlier.outcome == call.OutcomeAnswered && later.outcome == call.OutcomeAnswered:
+		earlier.close(false)
+		return later
+	case earlier.outcome == call.OutcomeAnswered:
 		return earlier
+	case earlier.outcome == call.OutcomeUnknown && later.outcome == call.OutcomeNotRun:
+		return earlier
+	default:
+		return later
 	}
-	return later
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -32,6 +32,7 @@
 	suspects    *suspects
 	hops        *hopTable
 	backend     *backend
+	failures    *failures
 	report      *reporter
 	now         func() time.Time
 }
@@ -166,6 +167,7 @@
 	c := u.hops.add(h)
 	started := u.now()
 	res, overloaded := u.backend.run(v, c.String(), v.span.TraceParent())
+	u.failures.ended(ctx, res)
 	return withFinish(res, func() {
 		now := u.now()
 		own := now.Sub(started) - h.waitedForChildren(now)
@@ -186,6 +188,7 @@
 		Cutoff:     u.cutoff(v),
 		Config:     wireVersion(u.config),
 		Load:       u.gate.loadPercent(),
+		Failing:    u.failures.percent(),
 	}
 	unspent := func() int { return drainAccount(v.account) }
 	if res.outcome != call.OutcomeAnswered {
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -45,6 +45,12 @@
 	s.picker.Done(now, address, r)
 }
 
+func (s *service) outlier(now time.Time, address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picker.Outlier(now, address)
+}
+
 func (s *service) update(now time.Time, cs []routing.Candidate) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -47,6 +47,8 @@
 	Get(ctx context.Context, key string) (KV, error)
 	// List returns all keys with a prefix and the store's revision at that time.
 	List(ctx context.Context, prefix string) ([]KV, int64, error)
+	// ListStale is List for content that may be seconds old. It costs the service a tenth.
+	ListStale(ctx context.Context, prefix string) ([]KV, error)
 	// CompareAndSwap writes a key if its revision is rev, where 0 stands for a key that doesn't exist, and returns
 	// the new revision. Errors are ErrConflict, ErrLeaseLost, ErrUnavailable and ErrUnknown.
 	CompareAndSwap(ctx context.Context, key string, rev int64, value []byte, lease LeaseID) (int64, error)
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -78,6 +78,8 @@
 	Config  ConfigVersion `cbor:"8,keyasint"`
 	// Load is the upstream's running and waiting requests in percent of its limit.
 	Load int `cbor:"9,keyasint,omitempty"`
+	// Failing is the share in percent of the upstream's recent requests that failed.
+	Failing int `cbor:"10,keyasint,omitempty"`
 }
 
 // Trailer ends the body of an answer. An answer without it is truncated.
