Follow the operator's health path, keep uploads in their zone, raise the zone's spill load

Change: services carry a health path; only silence counts as a crash; the zone is left above 0.9 of the load instead of 0.8, by uploads above 1.1.

--- a/internal/core/config/document.go
+++ b/internal/core/config/document.go
@@ -108,6 +108,8 @@
 // Service lists the operations of one service.
 type Service struct {
 	Operations []Operation `json:"operations"`
+	// HealthPath is the path of the backend servers' health check; "" means the platform's usual one.
+	HealthPath string `json:"health_path,omitempty"`
 }
 
 // Operation is a kind of request that a service accepts.
--- a/internal/core/config/parse.go
+++ b/internal/core/config/parse.go
@@ -103,9 +103,10 @@
 			r.add(path, describe(name), nameRule)
 		}
 		s := Service{Operations: []Operation{}}
-		r.fields(path, v, field{"operations", func(path string, v any) {
+		required := []field{{"operations", func(path string, v any) {
 			r.list(path, v, func(path string, v any) { s.Operations = append(s.Operations, r.operation(path, v)) })
-		}})
+		}}}
+		r.object(path, v, required, []field{{"health_path", r.lineInto(&s.HealthPath, maxPrefixLength)}})
 		d.Services[name] = s
 	})
 }
--- a/internal/core/routing/choice.go
+++ b/internal/core/routing/choice.go
@@ -24,7 +24,19 @@
 // spillAt is the load above which an upstream of a tier is passed over while a farther one has room. A nearer upstream answers sooner and
 // costs no traffic between zones while it has free slots; one that is nearly full makes its requests wait. The link
 // between regions is slow and billed by volume, so it is used last.
-var spillAt = [numTiers]float64{tierZone: 0.8, tierRegion: 0.95, tierRemote: 0.95}
+var spillAt = [numTiers]float64{tierZone: 0.9, tierRegion: 0.95, tierRemote: 0.95}
+
+// uploadSpillAt is the load above which an upload leaves its zone: an upload has tens of times the bytes of other requests,
+// so it stays while a short wait gives it a slot.
+const uploadSpillAt = 1.1
+
+// spillLoad returns the load above which an upstream is passed over for a request.
+func spillLoad(t tier, q Query) float64 {
+	if q.Upload && t == tierZone {
+		return uploadSpillAt
+	}
+	return spillAt[t]
+}
 
 // add is reservoir sampling with two places.
 func (cs *choices) add(u *upstream, score float64, rng *rand.Rand) {
--- a/internal/core/routing/picker.go
+++ b/internal/core/routing/picker.go
@@ -215,7 +215,7 @@
 // consider adds an upstream to the choices, by its score where it has room and by its wait where it has none.
 func (p *Picker) consider(cs *choices, now time.Time, u *upstream, q Query) {
 	load := p.load(now, u)
-	if load > spillAt[u.tier] {
+	if load > spillLoad(u.tier, q) {
 		cs.addFull(u, p.wait(now, u, load))
 		return
 	}
--- a/internal/core/routing/spill_test.go
+++ b/internal/core/routing/spill_test.go
@@ -98,3 +98,31 @@
 		t.Errorf("after a fast answer: %v, %v", c.Address, err)
 	}
 }
+
+// Guards against uploads that cross a zone's border, which is billed by volume, while a short wait in the zone would do.
+func TestUploadsStayInTheirZone(t *testing.T) {
+	p := NewPicker(Config{Zone: "a", Region: "r"}, rand.New(rand.NewPCG(1, 1)))
+	start := epoch.Add(time.Minute)
+	p.Update(start, []Candidate{
+		{Address: "near", Zone: "a", Region: "r", Slots: 100, ServingSince: epoch},
+		{Address: "far", Zone: "b", Region: "r", Slots: 100, ServingSince: epoch},
+	})
+	pick := func(load float64, upload bool) string {
+		p.Done(start, "near", Result{Outcome: call.OutcomeAnswered, Latency: 40 * time.Millisecond, Load: load})
+		p.Done(start, "far", Result{Outcome: call.OutcomeAnswered, Latency: 40 * time.Millisecond, Load: 0.1})
+		c, err := p.Pick(start, Query{Rank: call.NewRank(call.ClassHigh, "r"), Upload: upload})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c.Address
+	}
+	if got := pick(1, false); got != "far" {
+		t.Errorf("a small request went %s", got)
+	}
+	if got := pick(1, true); got != "near" {
+		t.Errorf("an upload went %s", got)
+	}
+	if got := pick(1.3, true); got != "far" {
+		t.Errorf("an upload went %s although its zone is full", got)
+	}
+}
--- a/internal/core/throttle/throttle.go
+++ b/internal/core/throttle/throttle.go
@@ -22,13 +22,13 @@
 	// leastSamples is the number of ended requests that a change needs; fewer say little about the rate of failures.
 	leastSamples = 8
 	// failuresHigh is the share of failures above which less is let through, failuresLow the one below which more is.
-	failuresHigh = 0.12
-	failuresLow  = 0.06
+	failuresHigh = 0.15
+	failuresLow  = 0.08
 	// fall bounds one reduction, since the failures of an interval also come from the time before the last change.
 	fall = 0.5
 	// firstStep is the first rise of the fraction after a reduction, stepGrowth the growth of the further ones: small steps keep
 	// the load near what the deep service takes, and growing ones open the throttle soon after an overload.
-	firstStep  = 0.04
+	firstStep  = 0.06
 	stepGrowth = 1.6
 	// least is the fraction that always passes, without which the end of an overload would not show soon.
 	least = 0.1
--- a/internal/daemon/announced.go
+++ b/internal/daemon/announced.go
@@ -113,7 +113,7 @@
 func (d *Daemon) proveBackend() {
 	ctx, cancel := context.WithTimeout(context.Background(), proofTimeout)
 	defer cancel()
-	id, err := d.backend.health(ctx, platform.HealthPath)
+	id, err := d.backend.health(ctx, d.healthPath())
 	if err != nil {
 		d.log.Log(events.HeartbeatRejected, d.announced.current().ID, "not proved: "+err.Error())
 		return
@@ -130,15 +130,23 @@
 func (d *Daemon) discoverBackend(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
 	defer cancel()
-	id, err := d.backend.health(ctx, platform.HealthPath)
+	id, err := d.backend.health(ctx, d.healthPath())
 	if err != nil {
 		return // the backend server isn't up yet or is leaving; heartbeats tell
 	}
 	_ = d.announce(func(t *announce.Tracker) error { t.Discover(id, discoveredSlots); return nil }) // has no error
 }
 
+// healthPath returns the path of the health check.
+func (d *Daemon) healthPath() string {
+	if _, doc := d.config.Current(); doc != nil && doc.Services[d.settings.Service].HealthPath != "" {
+		return doc.Services[d.settings.Service].HealthPath
+	}
+	return platform.HealthPath
+}
+
 // checkOverdue asks a backend server whose heartbeats have stopped whether it still lives. One that lost its power sends
-// nothing, and requests to it would wait until their deadlines.
+// nothing, and requests to it would wait until their deadlines. One that answers lives, whatever it says of its health.
 func (d *Daemon) checkOverdue(ctx context.Context) {
 	a := d.announced
 	a.mu.Lock()
@@ -149,7 +157,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
 	defer cancel()
-	if _, err := d.backend.health(ctx, platform.HealthPath); err != nil {
+	var answered *unhealthyError
+	if _, err := d.backend.health(ctx, d.healthPath()); err != nil && !errors.As(err, &answered) {
 		_ = d.announce(func(t *announce.Tracker) error { t.Crashed(); return nil }) // has no error
 	}
 }
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -167,6 +167,16 @@
 	return true
 }
 
+// unhealthyError reports a backend server that has answered a health check and takes no work.
+type unhealthyError struct {
+	status int
+}
+
+// Error implements error.
+func (e *unhealthyError) Error() string {
+	return fmt.Sprintf("health check: status %d", e.status)
+}
+
 // health asks the backend server whether it takes work, and returns the instance that answers.
 func (b *backend) health(ctx context.Context, path string) (string, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, b.base.String()+path, http.NoBody)
@@ -179,7 +189,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return "", fmt.Errorf("health check: status %d", resp.StatusCode)
+		return "", &unhealthyError{status: resp.StatusCode}
 	}
 	_, _ = io.Copy(io.Discard, resp.Body) // only the status and the header count
 	return platform.Instance(resp.Header), nil
