Come back sooner after a common end of all daemons

Change: first look within 0.25 s, configuration read at the start, slots taken from what an earlier daemon at the address had announced in its zone's summary.

--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -25,15 +25,14 @@
 	competeInterval = 5 * time.Second
 	// raceInterval spaces the looks of candidates that compete at the same time, as after a common start.
 	raceInterval = 500 * time.Millisecond
-	// configReadAfter is the time without any configuration after which a daemon that is no relay reads it from the store:
-	// its peers then have none for it, or it has not found them. configReadInterval spaces the further reads.
-	configReadAfter    = 3 * time.Second
-	configReadInterval = 5 * time.Second
+	// configReadInterval spaces the reads of the configuration by a daemon that has none yet and is no relay: its peers may
+	// have none for it either, as when all daemons were killed.
+	configReadInterval = 2 * time.Second
 	// zonesInterval spaces the reads of the other zones' summaries. A read of content that may be stale costs a tenth of a
 	// watch, which would also end with each of the many changes while a deployment starts.
 	zonesInterval = time.Second
 	// startSpread is the time over which the daemons of a zone that start together look for its leases.
-	startSpread = 500 * time.Millisecond
+	startSpread = 250 * time.Millisecond
 	// outageAfter is the time without a successful call after which the platform counts as down.
 	outageAfter = 10 * time.Second
 	// exchangeInterval spaces direct exchanges while the platform works. They correct records that a summary can't:
@@ -103,7 +102,7 @@
 	return &Relay{
 		store: store, members: members, configs: configs, now: now, rng: rng, report: report,
 		lastOK: now(), lastRank: relayCandidates, ownZone: make(map[string]uint64), summaries: make(map[string]int64),
-		nextLease: now().Add(time.Duration(rng.Int64N(int64(startSpread)))), nextConfig: now().Add(configReadAfter),
+		nextLease: now().Add(time.Duration(rng.Int64N(int64(startSpread)))), nextConfig: now().Add(time.Duration(rng.Int64N(int64(startSpread)))),
 	}
 }
 
@@ -148,16 +147,22 @@
 	if r.configs.Known() {
 		return
 	}
-	kv, err := r.store.Get(ctx, r.configs.Key())
-	if errors.Is(err, store.ErrNotFound) {
-		return // the operator has not written one yet
-	}
+	kvs, err := r.store.ListStale(ctx, r.configs.Key())
 	r.note(now, "read the configuration", err)
-	if err != nil {
-		return
+	if err == nil {
+		r.takeConfig(kvs)
 	}
-	if err := r.configs.FromStore(kv); err != nil {
-		r.report(fmt.Errorf("%s: %w", kv.Key, err))
+}
+
+// takeConfig takes the configuration out of items of the store.
+func (r *Relay) takeConfig(kvs []store.KV) {
+	for _, kv := range kvs {
+		if kv.Key != r.configs.Key() {
+			continue
+		}
+		if err := r.configs.FromStore(kv); err != nil {
+			r.report(fmt.Errorf("%s: %w", kv.Key, err))
+		}
 	}
 }
 
@@ -339,19 +344,11 @@
 	if err != nil {
 		return err
 	}
-	handle := func(kvs []store.KV) error {
-		for _, kv := range kvs {
-			if kv.Key != key {
-				continue
-			}
-			if err := r.configs.FromStore(kv); err != nil {
-				r.report(fmt.Errorf("%s: %w", kv.Key, err))
-			}
-		}
+	r.takeConfig(kvs)
+	return r.store.Watch(ctx, key, rev+1, func(kvs []store.KV) error {
+		r.takeConfig(kvs)
 		return nil
-	}
-	_ = handle(kvs) // never fails
-	return r.store.Watch(ctx, key, rev+1, handle)
+	})
 }
 
 // Run steps the relay every interval and watches while it holds a lease, until the context ends.
--- a/internal/control/summaries.go
+++ b/internal/control/summaries.go
@@ -42,6 +42,28 @@
 	}
 }
 
+// EarlierSlots returns the slots that an earlier daemon at this address has last announced for the same service, 0 if
+// unknown. It makes one call to the store.
+func (r *Relay) EarlierSlots(ctx context.Context) int {
+	self := r.members.Self()
+	kvs, err := r.store.ListStale(ctx, zonesPrefix+self.Zone+"/")
+	r.note(r.now(), "read the summaries of the own zone", err)
+	slots := 0
+	for _, kv := range kvs {
+		m, err := membership.Decode(kv.Value)
+		if err != nil {
+			r.report(fmt.Errorf("%s: %w", kv.Key, err))
+			continue
+		}
+		for _, rec := range m.Records {
+			if rec.Address == self.Address && rec.Service == self.Service {
+				slots = max(slots, rec.Slots)
+			}
+		}
+	}
+	return slots
+}
+
 func (r *Relay) summaryKey() string {
 	self := r.members.Self()
 	return zonesPrefix + self.Zone + "/" + self.Address
--- a/internal/core/announce/tracker.go
+++ b/internal/core/announce/tracker.go
@@ -165,6 +165,13 @@
 	t.open()
 }
 
+// Expect replaces the slots of a discovered backend server, as long as no heartbeat has told them.
+func (t *Tracker) Expect(id string, slots int) {
+	if t.current.ID == id && t.seq == 0 {
+		t.current.Slots = slots
+	}
+}
+
 // Leave takes the notice that an instance leaves. A notice for another instance has no effect. It reports whether the
 // backend server is leaving now.
 func (t *Tracker) Leave(id string) bool {
--- a/internal/core/announce/tracker_test.go
+++ b/internal/core/announce/tracker_test.go
@@ -92,7 +92,13 @@
 	if now := tr.Current(); now.State != Ready || now.Slots != 3 {
 		t.Fatalf("after discovery: %+v", now)
 	}
+	tr.Expect("i-9", 90)
+	tr.Expect("i-1", 9)
+	if now := tr.Current(); now.Slots != 9 {
+		t.Fatalf("after the earlier slots became known: %+v", now)
+	}
 	_ = tr.Heartbeat(start, beat(7, 4, false))
+	tr.Expect("i-1", 90)
 	if now := tr.Current(); now.State != Ready || now.Slots != 10 || now.Born != 7 {
 		t.Fatalf("after the first heartbeat: %+v", now)
 	}
--- a/internal/daemon/announced.go
+++ b/internal/daemon/announced.go
@@ -121,8 +121,8 @@
 	_ = d.announce(func(t *announce.Tracker) error { t.Proved(id); return nil }) // has no error
 }
 
-// discoveredSlots is what a backend server is trusted with until its first heartbeat, which comes within seconds. It is
-// below the slots of any backend server in use.
+// discoveredSlots is what a backend server is trusted with until its first heartbeat, which comes within seconds, where the
+// store doesn't tell what it announced before. It is below the slots of any backend server in use.
 const discoveredSlots = 16
 
 // discoverBackend asks, at the start of the daemon, whether a backend server already takes work. After a restart of the
@@ -135,6 +135,12 @@
 		return // the backend server isn't up yet or is leaving; heartbeats tell
 	}
 	_ = d.announce(func(t *announce.Tracker) error { t.Discover(id, discoveredSlots); return nil }) // has no error
+	if d.relay == nil {
+		return
+	}
+	if slots := d.relay.EarlierSlots(ctx); slots > 0 {
+		_ = d.announce(func(t *announce.Tracker) error { t.Expect(id, slots); return nil }) // has no error
+	}
 }
 
 // healthPath returns the path of the health check.
--- a/internal/daemon/configsync.go
+++ b/internal/daemon/configsync.go
@@ -22,7 +22,7 @@
 	// against the 4 s in which a change must be in effect everywhere, over about six hops.
 	syncInterval = 100 * time.Millisecond
 	// relayInterval is the interval at which a relay does what is due.
-	relayInterval = 250 * time.Millisecond
+	relayInterval = 100 * time.Millisecond
 	// contractInterval is the interval at which contracts are checked for warnings, which are due on whole days.
 	contractInterval = time.Minute
 )
