Explain a failed request from the logs of several daemons

Cause: the way from a request's id to its cause was a search by hand; the log had no line where an entry sends a request elsewhere or asks for its outcome.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -20,12 +20,13 @@
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
-		Usage:     "explain a reason code or the number of a log event",
-		ArgsUsage: "[CODE...]",
+		Usage:     "explain a reason code, the number of a log event, or a request from the logs",
+		ArgsUsage: "[CODE... | --request ID FILE...]",
 		Description: "CODE is a reason of the Guavapoint-Reason header, such as overload, or the number or name of a log event.\n" +
-			"Without CODE, all are listed.\n\nExamples:\n\nguavapoint explain incarnation-gone\nguavapoint explain 4009\n" +
-			"guavapoint explain --output json",
-		Flags:  []cli.Flag{outputFlag()},
+			"Without CODE, all are listed.\nWith --request, the lines of one request in the logs of several daemons are put in order, and the\n" +
+			"cause is named.\n\nExamples:\n\nguavapoint explain incarnation-gone\nguavapoint explain 4009\n" +
+			"guavapoint explain --output json\nguavapoint explain --request 9c41d07be2a35f68 a.log b.log",
+		Flags:  []cli.Flag{outputFlag(), &cli.StringFlag{Name: "request", Usage: "`ID` of a request"}},
 		Action: runExplain,
 	}
 }
@@ -44,6 +45,9 @@
 }
 
 func runExplain(_ context.Context, cmd *cli.Command) error {
+	if request := cmd.String("request"); request != "" {
+		return runStory(cmd, request)
+	}
 	all := explanations()
 	if !cmd.Args().Present() {
 		return writeResult(cmd, all, func(w io.Writer) error { return listExplanations(w, all) })
--- /dev/null
+++ b/internal/cli/story.go
@@ -0,0 +1,150 @@
+package cli
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+)
+
+// maxLogLine bounds a line of a log in bytes. A daemon's lines stay far below.
+const maxLogLine = 1 << 20
+
+// logLine is what the story of a request needs of a line of a daemon's log.
+type logLine struct {
+	Time    string `json:"time"`
+	Daemon  string `json:"daemon"`
+	Event   int    `json:"event"`
+	Name    string `json:"name"`
+	Request string `json:"request_id"`
+	Reason  string `json:"reason"`
+	// Rest holds the other fields, in the order of their names.
+	Rest string `json:"details"`
+}
+
+// commonFields are in every line and say nothing about the request.
+var commonFields = []string{"time", "daemon", "event", "name", "request_id", "reason", "msg", "level", "service", "zone", "region", "suppressed"}
+
+// story is the way of one request through the daemons.
+type story struct {
+	Request string    `json:"request_id"`
+	Lines   []logLine `json:"lines"`
+	Cause   string    `json:"cause"`
+}
+
+// runStory explains one request from the logs of several daemons.
+func runStory(cmd *cli.Command, request string) error {
+	s := story{Request: request}
+	for _, name := range cmd.Args().Slice() {
+		lines, err := readLog(name, request)
+		if err != nil {
+			return usageError(err)
+		}
+		s.Lines = append(s.Lines, lines...)
+	}
+	if len(s.Lines) == 0 {
+		return &Error{Code: ExitRefused, Err: eris.Errorf("no line of request %q in these logs; daemons write at most 20 lines a second "+
+			"of each event, and served requests at level debug only", request)}
+	}
+	slices.SortStableFunc(s.Lines, func(a, b logLine) int { return cmp.Compare(a.Time, b.Time) })
+	s.Cause = cause(s.Lines)
+	return writeResult(cmd, s, func(w io.Writer) error { return writeStory(w, s) })
+}
+
+// readLog returns the lines of a request in a log file.
+func readLog(name, request string) ([]logLine, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var found []logLine
+	scanner := bufio.NewScanner(f)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		if line, ok := parseLogLine(scanner.Text(), request); ok {
+			found = append(found, line)
+		}
+	}
+	return found, eris.Wrapf(scanner.Err(), "read %s", name)
+}
+
+// parseLogLine reads a line that may have something before its JSON, such as the name of its VM.
+func parseLogLine(text, request string) (logLine, bool) {
+	start := strings.IndexByte(text, '{')
+	if start < 0 || !strings.Contains(text, request) {
+		return logLine{}, false
+	}
+	var line logLine
+	var fields map[string]any
+	data := []byte(text[start:])
+	if json.Unmarshal(data, &line) != nil || json.Unmarshal(data, &fields) != nil || line.Request != request {
+		return logLine{}, false
+	}
+	line.Rest = restOf(fields)
+	return line, true
+}
+
+func restOf(fields map[string]any) string {
+	var parts []string
+	for name, v := range fields {
+		if v != nil && v != "" && !slices.Contains(commonFields, name) {
+			parts = append(parts, fmt.Sprintf("%s=%v", name, v))
+		}
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
+
+// Numbers of the events that end a request: of the upstream's daemon, which knows more, and of the entry.
+var (
+	upstreamEnds = []int{4017, 4018}
+	entryEnds    = []int{4015, 4016}
+)
+
+// cause names what decided on the request: the last decision of an upstream's daemon, or else that of the entry.
+func cause(lines []logLine) string {
+	last := func(events []int) *logLine {
+		for i := len(lines) - 1; i >= 0; i-- {
+			if slices.Contains(events, lines[i].Event) {
+				return &lines[i]
+			}
+		}
+		return nil
+	}
+	entry := last(entryEnds)
+	decided := last(upstreamEnds)
+	switch {
+	case entry == nil && decided == nil:
+		return "the request was served, or its end was not logged"
+	case decided == nil || entry != nil && entry.Reason != decided.Reason && entry.Event == entryEnds[0]:
+		decided = entry
+	}
+	if decided.Reason == "" {
+		return fmt.Sprintf("%s: the backend server answered with an error of its own, or a call that it needed failed (%s)", decided.Daemon, decided.Rest)
+	}
+	return fmt.Sprintf("%s: %s: %s", decided.Daemon, decided.Reason, reasons[call.Reason(decided.Reason)].meaning)
+}
+
+func writeStory(w io.Writer, s story) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "time\tdaemon\tevent\treason\tdetails")
+	for _, l := range s.Lines {
+		fmt.Fprintf(t, "%s\t%s\t%d %s\t%s\t%s\n", l.Time, l.Daemon, l.Event, l.Name, orDash(l.Reason), l.Rest)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "cause: %s\n", s.Cause)
+	return err
+}
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -13,6 +13,7 @@
 	"guavapoint.example/guavapoint/internal/core/config"
 	"guavapoint.example/guavapoint/internal/core/retry"
 	"guavapoint.example/guavapoint/internal/core/routing"
+	"guavapoint.example/guavapoint/internal/events"
 	"guavapoint.example/guavapoint/internal/transport"
 	"guavapoint.example/guavapoint/internal/wire"
 )
@@ -71,9 +72,16 @@
 		if !a.retry || !d.mayRepeat(ctx, req, service, body, a, n) {
 			return last
 		}
+		d.logRepeat(req, target, a)
 	}
 }
 
+// logRepeat writes the line of a request that goes to another upstream.
+func (d *dispatcher) logRepeat(req *request, target routing.Candidate, a attempt) {
+	d.report.log.Log(events.RequestRepeated, req.rootID, req.service, req.rank.Class().String(), target.Address,
+		a.outcome.String(), string(a.reason), a.status, req.attempts, req.deadline.Sub(d.now()).String())
+}
+
 // maxRefusals bounds the upstreams that may refuse one request before its caller is told. Each refusal costs a round
 // trip, and where three upstreams are full the others rarely have room.
 const maxRefusals = 3
--- a/internal/daemon/minted.go
+++ b/internal/daemon/minted.go
@@ -8,6 +8,7 @@
 	"guavapoint.example/guavapoint/internal/core/call"
 	"guavapoint.example/guavapoint/internal/core/outcome"
 	"guavapoint.example/guavapoint/internal/core/routing"
+	"guavapoint.example/guavapoint/internal/events"
 	"guavapoint.example/guavapoint/internal/settings"
 	"guavapoint.example/guavapoint/internal/wire"
 )
@@ -71,6 +72,7 @@
 		if a.outcome != call.OutcomeNotRun || !a.retry || !d.mayRepeat(ctx, req, service, body, a, n) {
 			return last
 		}
+		d.logRepeat(req, target, a)
 	}
 }
 
@@ -79,6 +81,8 @@
 func (d *dispatcher) settle(ctx context.Context, req *request, a attempt) attempt {
 	for {
 		res := d.ask(req, a)
+		d.report.log.Log(events.OutcomeAsked, req.rootID, req.service, req.token.Upstream, string(a.reason),
+			res.outcome.String(), req.deadline.Sub(d.now()).String())
 		switch {
 		case res.outcome == call.OutcomeNotRun:
 			return attempt{result: notRun(call.ReasonTokenRefused), sent: true, retry: true}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -53,10 +53,12 @@
 
 // Decisions on single requests. A request keeps its id on its way, so that its lines can be found on all daemons.
 var (
-	RequestRefused = decision(4015, info, "request-refused", "the entry refused a request that did not run", "route", "target_service", "class", "reason", "pass", "attempts", "config_revision", "duration")
-	RequestFailed  = decision(4016, warning, "request-failed", "a request of a caller was not served", "route", "target_service", "class", "upstream", "outcome", "reason", "status", "attempts", "config_revision", "duration")
-	CallRefused    = decision(4017, info, "call-refused", "the upstream's daemon refused a call before it ran", "from", "reason", "class", "limit", "in_flight", "waiting", "cutoff", "instance", "instance_state", "config_revision")
-	CallFailed     = decision(4018, warning, "call-failed", "a call that was passed to the backend server brought no answer", "from", "reason", "class", "instance", "time_left")
+	RequestRefused  = decision(4015, info, "request-refused", "the entry refused a request that did not run", "route", "target_service", "class", "reason", "pass", "attempts", "config_revision", "duration")
+	RequestFailed   = decision(4016, warning, "request-failed", "a request of a caller was not served", "route", "target_service", "class", "upstream", "outcome", "reason", "status", "attempts", "config_revision", "duration")
+	CallRefused     = decision(4017, info, "call-refused", "the upstream's daemon refused a call before it ran", "from", "reason", "class", "limit", "in_flight", "waiting", "cutoff", "instance", "instance_state", "config_revision")
+	RequestRepeated = decision(4019, info, "request-repeated", "the entry sends a request to another upstream", "target_service", "class", "upstream", "outcome", "reason", "status", "attempts", "time_left")
+	OutcomeAsked    = decision(4020, info, "outcome-asked", "the entry asked what became of a request whose answer is missing", "target_service", "upstream", "reason", "outcome", "time_left")
+	CallFailed      = decision(4018, warning, "call-failed", "a call that was passed to the backend server brought no answer", "from", "reason", "class", "instance", "time_left")
 )
 
 // Quarantine.
