Refuse requests that come with hardly any time left

Change: less than 10 ms is refused with a 503 before anything is sent, and the entry gives up 20 ms after the caller's rounded deadline instead of 3 ms, since timers fire early by what the process has worked. Before: TestRequestWithoutTimeIsNotSent fails with 9 ms.

--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -39,9 +39,15 @@
 // close connections themselves.
 const ingressIdleTimeout = 60 * time.Second
 
-// deadlineMargin is added to the time that a caller says it waits. Callers give it in whole milliseconds, rounded down, and
-// a request at which the upstream works must not be given up before its caller's deadline.
-const deadlineMargin = 3 * time.Millisecond
+const (
+	// deadlineMargin is added to the time that a caller says it waits. Callers give it in whole milliseconds, rounded down,
+	// and timers fire early by what this process has worked in its turn; a request at which the upstream works must not be
+	// given up before its caller's deadline.
+	deadlineMargin = 20 * time.Millisecond
+	// leastTime is the least time with which a request is sent on. The shortest work takes longer, so a request with less
+	// would only be broken off.
+	leastTime = 10 * time.Millisecond
+)
 
 // hostField carries the host of a request between daemons. net/http keeps it apart from the other fields.
 const hostField = "Host"
@@ -105,6 +111,11 @@
 
 func (i *ingress) serveRoute(w http.ResponseWriter, r *http.Request, found *route.Route, started time.Time) {
 	req := i.request(r, found, started)
+	if req.deadline.Sub(started) < leastTime+deadlineMargin {
+		i.refuse(w, call.ReasonDeadline)
+		i.logEnd(req, notRun(call.ReasonDeadline), 0)
+		return
+	}
 	if !i.allow(req) {
 		i.refusals.note()
 		i.refuse(w, call.ReasonThrottled)
--- a/internal/daemon/ingress_test.go
+++ b/internal/daemon/ingress_test.go
@@ -198,6 +198,29 @@
 	})
 }
 
+// Guards against a request that is sent on with hardly any time left: it would be broken off at work.
+func TestRequestWithoutTimeIsNotSent(t *testing.T) {
+	n, b := servingLookup(t)
+	runs := b.runs.Load()
+	for _, left := range []string{"0", "1", "9"} {
+		req, err := http.NewRequest(http.MethodGet, "http://"+n.settings.Ingress.Address+"/read/x", http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "a.example"
+		req.Header.Set("X-Request-Id", randomID())
+		req.Header.Set("X-Timeout-Ms", left)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusServiceUnavailable || b.runs.Load() != runs {
+			t.Errorf("%s ms left: status %d, %d runs", left, resp.StatusCode, b.runs.Load()-runs)
+		}
+	}
+}
+
 // Guards against work for a backend server that has announced to leave, by a heartbeat or by the notice alone, and
 // against a caller that isn't told when to come back.
 func TestLeavingBackendGetsNoWork(t *testing.T) {
