Keep a timed-out request from cancelling the later ones of its connection

The entry's lines show requests that ended with a timeout 70 to 170 us after they came: the read deadline of an earlier request had passed while net/http was reading to notice the end of the connection, which cancels the context of the connection and so of every later request on it. Change: the deadline is set for the reading of a body only and taken off with its end; where a body goes on, the connection is closed after the answer.

--- a/internal/daemon/body.go
+++ b/internal/daemon/body.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
+	"net/http"
+	"time"
 )
 
 // replayLimit is the largest request body that is kept in memory to be sent again by a retry, in bytes. Larger bodies
@@ -37,6 +39,24 @@
 	return b, nil
 }
 
+// readBody reads the start of a caller's body. A caller that sends it too slowly must not hold the request past its
+// deadline. The deadline is taken off again as soon as the body has been read: net/http goes on reading to notice the end of
+// the connection, and a deadline that passes then would cancel all later requests of the connection.
+func readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (*requestBody, error) {
+	if r.ContentLength == 0 {
+		return newRequestBody(http.NoBody, 0)
+	}
+	connection := http.NewResponseController(w)
+	_ = connection.SetReadDeadline(deadline) // fails for a connection that has ended, which the read shows
+	body, err := newRequestBody(r.Body, r.ContentLength)
+	if err != nil || body.rest != nil {
+		w.Header().Set("Connection", "close") // its deadline may pass
+		return body, err
+	}
+	_ = connection.SetReadDeadline(time.Time{}) // as above
+	return body, nil
+}
+
 var errShortBody = errors.New("body ended before its declared length")
 
 // reader returns the whole body for one attempt. The second result is false when the body can't be sent again.
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -61,15 +61,13 @@
 }
 
 func (e *entry) serve(w http.ResponseWriter, r *http.Request, req *request, started time.Time) {
-	// A caller that sends its body too slowly must not hold the request past its deadline.
-	_ = http.NewResponseController(w).SetReadDeadline(req.deadline)
 	ctx, cancel := contextFor(r, req)
 	defer cancel()
 	if req.parent != nil {
 		req.parent.childStarted(started)
 	}
 	req.span = e.report.telemetry.StartSpan("entry", r.Header.Get(headerTrace), req.service, req.rank.Class())
-	res := e.run(ctx, r, req)
+	res := e.run(ctx, w, r, req)
 	res.service = req.service
 	if req.parent != nil {
 		defer func() { req.parent.childEnded(e.now(), res) }()
@@ -81,11 +79,11 @@
 }
 
 // run obtains a token, or dispatches the call.
-func (e *entry) run(ctx context.Context, r *http.Request, req *request) *result {
+func (e *entry) run(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) *result {
 	if req.bound() && req.token == nil {
 		return e.dispatch.requestToken(ctx, req)
 	}
-	body, err := newRequestBody(r.Body, r.ContentLength)
+	body, err := readBody(w, r, req.deadline)
 	if err != nil {
 		return e.refuseLocally(r, call.ReasonCanceled)
 	}
--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -125,13 +125,10 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
-	// A caller that sends its body too slowly must not hold the request past its deadline.
-	_ = http.NewResponseController(w).SetReadDeadline(req.deadline)
 	req.span = i.report.telemetry.StartSpan("entry", r.Header.Get(headerTrace), req.service, req.rank.Class())
-	res := i.dispatchRoute(ctx, r, req)
+	res := i.dispatchRoute(ctx, w, r, req)
 	res.service = req.service
 	req.span.End(res.outcome, res.reason)
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	if overloadFailure(res) {
 		i.refusals.note()
 	}
@@ -233,8 +230,8 @@
 }
 
 // dispatchRoute reads the body and sends the request to an upstream.
-func (i *ingress) dispatchRoute(ctx context.Context, r *http.Request, req *request) *result {
-	body, err := newRequestBody(r.Body, r.ContentLength)
+func (i *ingress) dispatchRoute(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) *result {
+	body, err := readBody(w, r, req.deadline)
 	if err != nil {
 		return notRun(call.ReasonCanceled)
 	}
--- a/internal/daemon/ingress_test.go
+++ b/internal/daemon/ingress_test.go
@@ -221,6 +221,42 @@
 	}
 }
 
+// Guards against a request that timed out and that cancels the later requests of its connection.
+func TestTimeoutLeavesTheConnectionUsable(t *testing.T) {
+	n, b := servingLookup(t)
+	b.answer = func(_ http.ResponseWriter, r *http.Request) bool {
+		if strings.HasSuffix(r.URL.Path, "/slow") {
+			<-r.Context().Done()
+		}
+		return false
+	}
+	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	send := func(method, path, timeout, body string) int {
+		req, err := http.NewRequest(method, "http://"+n.settings.Ingress.Address+path, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "a.example"
+		req.Header.Set("X-Request-Id", randomID())
+		req.Header.Set("X-Timeout-Ms", timeout)
+		resp, err := client.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	for _, body := range []string{"", "body"} {
+		if status := send(http.MethodGet, "/read/slow", "200", body); status != http.StatusGatewayTimeout {
+			t.Errorf("slow request: status %d", status)
+		}
+		if status := send(http.MethodGet, "/read/next", "4000", body); status != http.StatusOK {
+			t.Errorf("next request: status %d", status)
+		}
+	}
+}
+
 // Guards against work for a backend server that has announced to leave, by a heartbeat or by the notice alone, and
 // against a caller that isn't told when to come back.
 func TestLeavingBackendGetsNoWork(t *testing.T) {
