Let the first members of a zone follow the configuration beside its relays

Ruled out: the peers' versions; calls stay in the zone while it has room. Change: the first 5 members of a zone watch too, at 5 more calls in 10 s a zone.

--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"guavapoint.example/guavapoint/internal/core/membership"
@@ -25,6 +26,10 @@
 	competeInterval = 5 * time.Second
 	// raceInterval spaces the looks of candidates that compete at the same time, as after a common start.
 	raceInterval = 500 * time.Millisecond
+	// configWatchers is the number of members of a zone that follow the configuration in the store beside the relays: the
+	// store may turn all relays of a zone away, or end their leases, while it serves others. The rest take it from their
+	// peers. If all watched, the calls would grow with the fleet.
+	configWatchers = 5
 	// configReadInterval spaces the reads of the configuration by a daemon that has none yet and is no relay: its peers may
 	// have none for it either, as when all daemons were killed.
 	configReadInterval = 2 * time.Second
@@ -74,6 +79,8 @@
 	rng     *rand.Rand
 	report  func(error)
 
+	looked atomic.Bool // for the zone's leases
+
 	mu           sync.Mutex
 	lease        store.LeaseID
 	leaseEnd     time.Time // by this daemon's clock; the lease may last longer
@@ -173,6 +180,7 @@
 		return
 	}
 	r.nextLease = now.Add(competeInterval/2 + r.spread(competeInterval))
+	defer r.looked.Store(true)
 	r.lastRank = r.rank()
 	if r.lastRank < relayCandidates {
 		r.compete(ctx, now)
@@ -355,7 +363,7 @@
 func (r *Relay) Run(ctx context.Context, interval time.Duration) {
 	var watches sync.WaitGroup
 	defer watches.Wait()
-	watches.Go(func() { r.keepWatching(ctx, r.Active, r.WatchConfig) })
+	watches.Go(func() { r.keepWatching(ctx, r.followsConfig, r.WatchConfig) })
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -368,6 +376,12 @@
 	}
 }
 
+// followsConfig reports whether this daemon follows the configuration in the store. Until it has looked for the zone's
+// relays it knows no member that comes before it.
+func (r *Relay) followsConfig() bool {
+	return r.Active() || r.looked.Load() && r.rank() < configWatchers
+}
+
 // keepWatching watches while the condition holds when a watch begins.
 func (r *Relay) keepWatching(ctx context.Context, condition func() bool, watch func(context.Context) error) {
 	for ctx.Err() == nil {
--- a/internal/control/relay_test.go
+++ b/internal/control/relay_test.go
@@ -120,6 +120,16 @@
 		}
 	}
 	w.wantState(t, "after the start", "10.0.1.3:7000", membership.StateServing)
+	// Guards against a zone that misses changes of the configuration when the store turns its relays away.
+	followers := 0
+	for _, a := range w.order {
+		if w.relays[a].followsConfig() {
+			followers++
+		}
+	}
+	if followers < 2*configWatchers || followers > 2*(configWatchers+relaysPerZone) {
+		t.Errorf("%d members of two zones follow the configuration", followers)
+	}
 
 	before := w.store.Calls()
 	w.run(60 * time.Second)
