Bound the wait for a TLS peer's acceptance by the dial's timeout

Ruled out: the calls; with plain connections there is no such wait. Change: the dial's timeout bounds it. Measured: the package twice with the race detector, passed.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -51,10 +51,13 @@
 	if t.cfg.TLS != nil {
 		c.Conn = tls.Client(socket, clientTLS(t.cfg.TLS))
 	}
-	c.reader = bufio.NewReaderSize(&silenceReader{conn: c.Conn, limit: t.cfg.SilentAfter, now: time.Now}, readBuffer)
+	// No sign of life comes before the peer has accepted the connection, so only the dial's timeout bounds that wait.
+	silence := &silenceReader{conn: c.Conn, limit: t.cfg.DialTimeout, now: time.Now}
+	c.reader = bufio.NewReaderSize(silence, readBuffer)
 	if t.cfg.TLS != nil {
 		err = c.handshake(ctx)
 	}
+	silence.limit = t.cfg.SilentAfter
 	if err != nil {
 		socket.Close()
 		return nil, err
