--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -29,7 +29,7 @@
 	// configWatchers is the number of members of a zone that follow the configuration in the store beside the relays: the
 	// store may turn all relays of a zone away, or end their leases, while it serves others. The rest take it from their
 	// peers. If all watched, the calls would grow with the fleet.
-	configWatchers = 5
+	configWatchers = 4
 	// configReadInterval spaces the reads of the configuration by a daemon that has none yet and is no relay: its peers may
 	// have none for it either, as when all daemons were killed.
 	configReadInterval = 2 * time.Second
@@ -55,6 +55,8 @@
 	summaryRate = 2 << 10
 	// watchRetry is the wait before a watch is opened again.
 	watchRetry = time.Second
+	// compactedRetry is the wait where the history was dropped. The store works then, and changes have been missed.
+	compactedRetry = 50 * time.Millisecond
 )
 
 // Members is the membership table; *LockedNode implements it.
@@ -385,14 +387,19 @@
 // keepWatching watches while the condition holds when a watch begins.
 func (r *Relay) keepWatching(ctx context.Context, condition func() bool, watch func(context.Context) error) {
 	for ctx.Err() == nil {
+		wait := watchRetry
 		if condition() {
-			if err := watch(ctx); ctx.Err() == nil {
+			err := watch(ctx)
+			if ctx.Err() == nil {
 				r.report(fmt.Errorf("watch: %w", err))
 			}
+			if errors.Is(err, store.ErrCompacted) {
+				wait = compactedRetry
+			}
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(watchRetry):
+		case <-time.After(wait):
 		}
 	}
 }
