Derive whether a request's body is whole, and drop an unused accessor

Cause: requestBody kept a flag beside the channel that says the same, and nothing calls CallStream.From since the tests stopped comparing source ports. Ruled out: a change of behaviour; both were set under the same lock.

--- a/internal/transport/callstream.go
+++ b/internal/transport/callstream.go
@@ -29,9 +29,6 @@
 // Header returns the header of the call. The caller may change it.
 func (s *CallStream) Header() *wire.CallHeader { return s.header }
 
-// From returns the address that the call came from.
-func (s *CallStream) From() string { return s.conn.RemoteAddr().String() }
-
 // Body returns the body of the call. It returns io.EOF only after the caller's end mark, and io.ErrUnexpectedEOF when
 // the caller broke off. It must not be read after ServeCall has returned.
 func (s *CallStream) Body() io.Reader { return &s.body }
@@ -103,7 +100,6 @@
 type requestBody struct {
 	mu     sync.Mutex
 	ended  bool
-	whole  bool
 	frames *wire.BodyReader
 	read   chan struct{} // closed when the body was read to its end
 	failed func()        // called when the body breaks off
@@ -123,7 +119,7 @@
 func (b *requestBody) Read(p []byte) (int, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.whole {
+	if isClosed(b.read) {
 		return 0, io.EOF
 	}
 	if b.ended {
@@ -133,7 +129,6 @@
 	switch err {
 	case nil:
 	case io.EOF:
-		b.whole = true
 		close(b.read)
 	default:
 		err = io.ErrUnexpectedEOF
@@ -147,5 +142,5 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.ended = true
-	return b.whole
+	return isClosed(b.read)
 }
