Record the rate limit that a backend server states, and the requests sent to it

Callers saw: nothing. Change: the tracker of the backend server records the limit of its responses; event 5011, metrics sent_total and rate_limit. A limit holds until a response without one arrives to a request that was sent after it was last stated. Nothing is limited yet.

--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -83,6 +83,8 @@
 // Load is a snapshot of a Controller for metrics, in requests.
 type Load struct {
 	Limit, InFlight, Waiting int
+	// Started is the number of requests that were admitted so far.
+	Started uint64
 }
 
 // Controller admits the requests of one upstream.
@@ -90,6 +92,7 @@
 	cfg                   Config
 	running               map[uint64]runningRequest
 	onlyUnreservedRunning int // running requests of the classes that can't take reserved slots
+	started               uint64
 	queue                 queue
 	limiter               limiter
 	medianRunTime         medianEstimator
@@ -185,7 +188,7 @@
 
 // Load returns the current limit and the numbers of running and waiting requests.
 func (c *Controller) Load() Load {
-	return Load{Limit: c.limiter.current(), InFlight: len(c.running), Waiting: c.queue.len()}
+	return Load{Limit: c.limiter.current(), InFlight: len(c.running), Waiting: c.queue.len(), Started: c.started}
 }
 
 // advance closes elapsed measurement windows, starts waiting requests while there are slots, and refuses those that
@@ -273,6 +276,7 @@
 
 // start counts a request as running.
 func (c *Controller) start(now time.Time, req Request) {
+	c.started++
 	unreserved := onlyUnreserved(req.Rank)
 	c.running[req.ID] = runningRequest{startedAt: now, concurrency: len(c.running) + 1, onlyUnreserved: unreserved}
 	if unreserved {
--- a/internal/core/announce/tracker.go
+++ b/internal/core/announce/tracker.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
 )
 
 const (
@@ -69,6 +71,7 @@
 	Slots          int
 	State          State
 	ColdUntil      time.Time // the backend server is slow until then
+	RateLimit      call.RateLimit
 }
 
 // Tracker tracks the backend server beside a daemon. It is not safe for concurrent use.
@@ -85,6 +88,8 @@
 	// everVerified is set once any backend server was ready. From then on the tracker has missed no announcement to
 	// leave, so a first heartbeat of a new start needs no verification.
 	everVerified bool
+	knownSince   time.Time // arrival of the first heartbeat of the current start; zero if it was discovered
+	limitAt      time.Time // arrival of the last response that stated a rate limit
 }
 
 // NewTracker returns a tracker for the backend servers of a service, in state Unknown.
@@ -106,7 +111,7 @@
 		return ErrStale
 	}
 	if !t.sameStart(h) {
-		t.reset(h)
+		t.reset(now, h)
 	}
 	hasPrevious := t.seq > 0
 	t.updateInterval(now, hasPrevious)
@@ -147,9 +152,10 @@
 }
 
 // reset makes the start that sent h the current one, in state Unknown.
-func (t *Tracker) reset(h Heartbeat) {
+func (t *Tracker) reset(now time.Time, h Heartbeat) {
 	t.current = Instance{ID: h.ID, StartUnixMilli: h.StartUnixMilli}
 	t.seq, t.crashedSeq, t.crashed = 0, 0, false
+	t.knownSince, t.limitAt = now, time.Time{}
 }
 
 // markReady records that the current start takes work.
@@ -198,6 +204,27 @@
 	return t.current.ID == id
 }
 
+// Report is what a backend server's response says about the backend server itself.
+type Report struct {
+	RateLimit call.RateLimit
+}
+
+// Response records the report of a response that arrived at now, to a request that was sent at sentAt. A rate limit
+// holds until a response without one arrives, but not one to a request that was sent before the limit was last stated:
+// responses on several connections overtake each other. Responses to requests that were sent to an earlier start have
+// no effect.
+func (t *Tracker) Response(now, sentAt time.Time, r Report) {
+	if sentAt.Before(t.knownSince) {
+		return
+	}
+	if r.RateLimit.Limited {
+		t.limitAt = now
+	} else if !sentAt.After(t.limitAt) {
+		return
+	}
+	t.current.RateLimit = r.RateLimit
+}
+
 // MarkCrashed records that the backend server accepts no connections, until a newer heartbeat arrives. It has no effect
 // on a backend server that is leaving.
 func (t *Tracker) MarkCrashed() {
--- a/internal/core/announce/tracker_test.go
+++ b/internal/core/announce/tracker_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"guavapoint.example/guavapoint/internal/core/call"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -132,3 +134,30 @@
 		t.Errorf("after the first heartbeat since the crash: %+v", tr.Current())
 	}
 }
+
+// Guards against a rate limit that is forgotten because a response from before it was stated arrives later, and against
+// one that outlives its statement or its backend server.
+func TestRateLimitFollowsResponses(t *testing.T) {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	limited := Report{RateLimit: call.RateLimit{Limited: true, PerSecond: 7.5}}
+	tr := NewTracker("lookup")
+	_ = tr.Heartbeat(start, heartbeat(1, 1, false))
+	tr.Response(at(100), at(50), limited)
+	tr.Response(at(110), at(90), Report{})
+	if got := tr.Current().RateLimit; got != limited.RateLimit {
+		t.Fatalf("limit %v after a late response without one, want %v", got, limited.RateLimit)
+	}
+	tr.Response(at(130), at(120), Report{})
+	if got := tr.Current().RateLimit; got.Limited {
+		t.Fatalf("limit %v after a newer response without one, want none", got)
+	}
+	tr.Response(at(150), at(140), limited)
+	_ = tr.Heartbeat(at(200), heartbeat(2, 1, false))
+	if got := tr.Current().RateLimit; got.Limited {
+		t.Fatalf("limit %v at the next start, want none", got)
+	}
+	tr.Response(at(220), at(190), limited)
+	if got := tr.Current().RateLimit; got.Limited {
+		t.Fatalf("limit %v by a response of the former start, want none", got)
+	}
+}
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"guavapoint.example/guavapoint/internal/core/announce"
 	"guavapoint.example/guavapoint/internal/core/call"
 	"guavapoint.example/guavapoint/internal/events"
 	"guavapoint.example/guavapoint/internal/loopback"
@@ -33,10 +34,13 @@
 
 // backend runs requests on the backend server beside this daemon. It is safe for concurrent use.
 type backend struct {
-	base         *url.URL
-	pool         *loopback.Pool
-	instance     *instanceTracker // nil if the backend server uses the project's own header fields
-	crashes      *crashDetector
+	base     *url.URL
+	pool     *loopback.Pool
+	instance *instanceTracker // nil if the backend server uses the project's own header fields
+	crashes  *crashDetector
+	// recordReport is called with what each response of an announced backend server says about the backend server, and
+	// with the time at which the request was sent.
+	recordReport func(sentAt time.Time, r announce.Report)
 	onDialFailed func() // called if no connection to the backend server could be opened
 	log          *events.Logger
 	now          func() time.Time
@@ -61,6 +65,7 @@
 		cancel()
 		return notRun(call.ReasonBackendRefused), false
 	}
+	sentAt := b.now()
 	resp, err := b.pool.Do(ctx, req, matchesRequestID(platform.RequestID(req.Header)))
 	if err != nil {
 		dispatched.Store(!errors.Is(err, loopback.ErrNotSent))
@@ -68,6 +73,7 @@
 		cancel()
 		return res, false
 	}
+	b.readReport(sentAt, resp)
 	overloaded = resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
 	if res := b.rejectResponse(c, resp); res != nil {
 		resp.Body.Close()
@@ -87,6 +93,17 @@
 	return res, overloaded
 }
 
+// readReport passes on what a response says about the backend server itself. A response counts if it is certain to come
+// from the announced instance: it is signed, or it refuses the request, other than as meant for another instance.
+func (b *backend) readReport(sentAt time.Time, resp *http.Response) {
+	if b.instance == nil || resp.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	if platform.HasSignature(resp.Header) || platform.NotExecuted(resp.StatusCode, resp.Header) {
+		b.recordReport(sentAt, announce.Report{RateLimit: platform.RateLimit(resp.Header)})
+	}
+}
+
 // maxWait returns the longest time for which the answer to a request is awaited.
 func (b *backend) maxWait(c *upstreamCall) time.Duration {
 	if b.instance == nil {
--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -99,6 +99,9 @@
 		d.log.Log(events.BackendServerAnnounced, after.ID, after.StartUnixMilli, before.State.String(), after.State.String(),
 			after.Slots)
 	}
+	if before.RateLimit != after.RateLimit {
+		d.log.Log(events.RateLimitChanged, after.ID, before.RateLimit, after.RateLimit, d.admission.load().Started)
+	}
 	if before.Slots != after.Slots {
 		_, doc := d.config.Current()
 		d.admission.setConfig(d.admissionConfig(doc))
@@ -115,6 +118,11 @@
 	return err
 }
 
+// recordReport records what a response to a request that was sent at sentAt says about the backend server.
+func (d *Daemon) recordReport(sentAt time.Time, r announce.Report) {
+	_ = d.updateInstance(func(t *announce.Tracker) error { t.Response(d.now(), sentAt, r); return nil }) // always nil
+}
+
 // verifyInstance verifies by a health check that the announced instance is the one that responds and takes requests.
 func (d *Daemon) verifyInstance() {
 	ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -93,11 +93,15 @@
 		Limit:          load.Limit,
 		InFlight:       load.InFlight,
 		Waiting:        load.Waiting,
+		Sent:           load.Started,
 		Cutoff:         d.admission.cutoff(),
 		Members:        make(map[string]int),
 		ConfigEpoch:    version.Epoch,
 		ConfigRevision: version.Revision,
 	}
+	if d.instance != nil {
+		g.RateLimit = d.instance.current().RateLimit
+	}
 	for _, r := range d.members.records() {
 		g.Members[r.State.String()]++
 	}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -66,6 +66,7 @@
 var (
 	BackendServerCrashed   = define(5001, failure, "backend-server-crashed", "the backend server crashed", "in_flight", "error")
 	BackendServerAnnounced = define(5008, info, "backend-server-announced", "a heartbeat changed the instance, state or slots of the backend server", "instance", "born", "from", "to", "slots")
+	RateLimitChanged       = limited(5011, info, "rate-limit-changed", "the backend server states another rate limit", "instance", "from", "to", "sent")
 	HeartbeatRejected      = limited(5009, warning, "heartbeat-rejected", "a heartbeat was rejected", "instance", "error")
 	AnswerRejected         = limited(5010, failure, "answer-rejected", "an answer of the backend server was rejected and not forwarded", "request_id", "status", "cause")
 	BackendServerAvailable = define(5002, info, "backend-server-available", "the backend server accepts connections", "outage")
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -35,7 +36,11 @@
 // Gauges holds the values of the gauges, which are read at each scrape.
 type Gauges struct {
 	Limit, InFlight, Waiting int
-	Cutoff                   call.Rank
+	// Sent is the number of requests that were sent to the backend server.
+	Sent uint64
+	// RateLimit is the rate limit that the backend server states. It is exported as infinite while there is none.
+	RateLimit call.RateLimit
+	Cutoff    call.Rank
 	// Members is the number of known daemons by state.
 	Members map[string]int
 	// ConfigEpoch and ConfigRevision are the version of the configuration in effect.
@@ -132,21 +137,31 @@
 	members := gauge("members", "Known daemons by state.")
 	epoch := gauge("config_epoch", "Epoch of the configuration in effect.")
 	revision := gauge("config_revision", "Revision of the configuration in effect.")
-	if err := errors.Join(errs...); err != nil {
+	rateLimit, err := i.meter.Float64ObservableGauge("rate_limit",
+		metric.WithDescription("Requests per second that the backend server takes, by its own statement."))
+	errs = append(errs, err)
+	sent, err := i.meter.Int64ObservableCounter("sent", metric.WithDescription("Requests sent to the backend server."))
+	if err := errors.Join(append(errs, err)...); err != nil {
 		return err
 	}
-	_, err := i.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+	_, err = i.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		g := f()
 		o.ObserveInt64(limit, int64(g.Limit))
 		o.ObserveInt64(inFlight, int64(g.InFlight))
 		o.ObserveInt64(waiting, int64(g.Waiting))
 		o.ObserveInt64(cutoff, int64(g.Cutoff))
+		o.ObserveInt64(sent, int64(g.Sent))
+		perSecond := math.Inf(1)
+		if g.RateLimit.Limited {
+			perSecond = g.RateLimit.PerSecond
+		}
+		o.ObserveFloat64(rateLimit, perSecond)
 		o.ObserveInt64(epoch, int64(g.ConfigEpoch))
 		o.ObserveInt64(revision, int64(g.ConfigRevision))
 		for state, n := range g.Members {
 			o.ObserveInt64(members, int64(n), metric.WithAttributes(attribute.String("state", state)))
 		}
 		return nil
-	}, limit, inFlight, waiting, cutoff, members, epoch, revision)
+	}, limit, inFlight, waiting, cutoff, sent, rateLimit, members, epoch, revision)
 	return err
 }
