Keep the rate that a backend server states, at the one daemon before it

Callers saw: nothing; backend servers in need got twice what they asked for (39.5 a second at 19.5). Cause: the slots were the only bound; the stated rate was forwarded like any header and read nowhere. Class of fault: a bound that a backend server states by itself is known to nobody who could keep it. Ruled out: shares per entry. An entry can't tell how many others send, and with 99 entries at 7 a second a share is one request in 14 s; the daemon beside the backend server is the only way to it and needs no agreement. A part of the burst is open to the higher classes only; below one request in 4 s one is sent all the same, since only a response shows that the limit has ended.

--- a/errors.go
+++ b/errors.go
@@ -13,6 +13,7 @@
 const (
 	// Reasons of a *NotRunError.
 	ReasonOverload       = call.ReasonOverload
+	ReasonRateLimit      = call.ReasonRateLimit
 	ReasonLeaving        = call.ReasonLeaving
 	ReasonDeadline       = call.ReasonDeadline
 	ReasonNoUpstream     = call.ReasonNoUpstream
--- a/internal/cli/reasons.go
+++ b/internal/cli/reasons.go
@@ -28,6 +28,11 @@
 		ranNoUnlessEarlier, "Check the demand, and the limit, waiting and cutoff of the upstreams with guavapoint state. If the overload lasts, switch to preset peak. " +
 			"The caller can resend after a wait; with the same Guavapoint-Request-Id, the request keeps its rank.",
 	},
+	call.ReasonRateLimit: {
+		"The backend server states in its responses how many requests a second it takes, and that rate was used up.",
+		ranNo, "See event 5011 and guavapoint_rate_limit, and find out why the backend server is short of capacity. " +
+			"The caller can resend after a wait; with the same Guavapoint-Request-Id, the request keeps its rank.",
+	},
 	call.ReasonLeaving: {
 		"The daemon is shutting down gracefully and accepts no new work.",
 		ranNoUnlessEarlier, "Nothing; other upstreams are tried within the retry bound. A caller that uses this daemon as its entry resends through another one.",
--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -95,6 +95,7 @@
 	started               uint64
 	queue                 queue
 	limiter               limiter
+	rate                  rateLimiter
 	medianRunTime         medianEstimator
 	cutoff                cutoff
 }
@@ -132,7 +133,7 @@
 	// The request joins the queue before expired requests are refused, so that it isn't left waiting when a request of
 	// a higher class is refused.
 	c.queue.insert(queuedRequest{Request: req, queuedAt: now})
-	return c.shedExcess(c.advance(now, nil))
+	return c.shedExcess(now, c.advance(now, nil))
 }
 
 // Done reports the end of a running request and frees its slot. An unknown ID has no effect.
@@ -167,7 +168,7 @@
 
 // Cutoff returns the rank below which callers should currently not send requests. It is zero without overload.
 func (c *Controller) Cutoff(now time.Time) call.Rank {
-	c.cutoff.advance(now, c.hasFreeSlot())
+	c.cutoff.advance(now, c.hasFreeSlot(now))
 	return c.cutoff.value
 }
 
@@ -183,7 +184,18 @@
 	for n := c.queue.len(); n > 0 && c.queue.at(n-1).Rank.Class() < c.cfg.LowestClass; n-- {
 		decisions = append(decisions, Decision{c.queue.remove(n - 1).ID, Refused, call.ReasonOverload})
 	}
-	return c.shedExcess(c.advance(now, decisions))
+	return c.shedExcess(now, c.advance(now, decisions))
+}
+
+// SetRateLimit replaces the rate limit that the backend server states. Requests that have started are not affected.
+func (c *Controller) SetRateLimit(now time.Time, limit call.RateLimit) []Decision {
+	c.rate.set(now, limit)
+	return c.advance(now, nil)
+}
+
+// RateLoad returns the share of the rate limit's burst that is used up, from 0 to 1. It is 0 without a rate limit.
+func (c *Controller) RateLoad(now time.Time) float64 {
+	return c.rate.load(now)
 }
 
 // Load returns the current limit and the numbers of running and waiting requests.
@@ -205,14 +217,14 @@
 // advanceEstimators updates the limit, the cutoff and the median running time for the time that has passed.
 func (c *Controller) advanceEstimators(now time.Time) {
 	c.limiter.advance(now)
-	c.cutoff.advance(now, c.hasFreeSlot())
+	c.cutoff.advance(now, c.hasFreeSlot(now))
 	c.medianRunTime.advance(now)
 }
 
-// dispatch starts waiting requests in descending order of rank while there are slots. It stops at the first request
-// without a slot, because no request behind it has a higher rank. Requests that would miss their deadline are refused.
+// dispatch starts waiting requests in descending order of rank while there are slots and the rate limit allows it. It
+// stops at the first request that can't start, because no request behind it has a higher rank. Requests that would miss their deadline are refused.
 func (c *Controller) dispatch(now time.Time, decisions []Decision) []Decision {
-	for c.queue.len() > 0 && c.hasSlot(c.queue.at(0).Rank) {
+	for c.queue.len() > 0 && c.mayStart(now, c.queue.at(0).Rank) {
 		item := c.queue.remove(0)
 		if c.wouldMissDeadline(now, item.Request) {
 			decisions = append(decisions, Decision{item.ID, Refused, call.ReasonDeadline})
@@ -235,7 +247,7 @@
 	highest := c.queue.highestExpiredClass(now, c.cfg.QueueDelay)
 	for i := c.queue.len() - 1; i >= 0; i-- {
 		if item := c.queue.at(i); item.Rank.Class() < highest || now.Sub(item.queuedAt) > c.cfg.QueueDelay {
-			decisions = c.shed(i, decisions)
+			decisions = c.shed(now, i, decisions)
 		}
 	}
 	for i := c.queue.len() - 1; i >= 0; i-- {
@@ -247,18 +259,22 @@
 }
 
 // shedExcess refuses the waiting requests of lowest rank until the queue length is within queueBound.
-func (c *Controller) shedExcess(decisions []Decision) []Decision {
+func (c *Controller) shedExcess(now time.Time, decisions []Decision) []Decision {
 	for bound := c.queueBound(); c.queue.len() > bound; {
-		decisions = c.shed(c.queue.len()-1, decisions)
+		decisions = c.shed(now, c.queue.len()-1, decisions)
 	}
 	return decisions
 }
 
-// shed refuses the waiting request at index i for overload.
-func (c *Controller) shed(i int, decisions []Decision) []Decision {
+// shed refuses the waiting request at index i, for overload or, if it has a slot, because of the rate limit.
+func (c *Controller) shed(now time.Time, i int, decisions []Decision) []Decision {
 	item := c.queue.remove(i)
 	c.cutoff.recordShed(item.Rank)
-	return append(decisions, Decision{item.ID, Refused, call.ReasonOverload})
+	reason := call.ReasonOverload
+	if c.hasSlot(item.Rank) && !c.mayStart(now, item.Rank) {
+		reason = call.ReasonRateLimit
+	}
+	return append(decisions, Decision{item.ID, Refused, reason})
 }
 
 // queueBound returns the maximum queue length: the number of requests that the slots take from the queue within the
@@ -276,6 +292,7 @@
 
 // start counts a request as running.
 func (c *Controller) start(now time.Time, req Request) {
+	c.rate.take(now)
 	c.started++
 	unreserved := onlyUnreserved(req.Rank)
 	c.running[req.ID] = runningRequest{startedAt: now, concurrency: len(c.running) + 1, onlyUnreserved: unreserved}
@@ -309,9 +326,14 @@
 	return min(int(math.Ceil(c.cfg.ReservedShare*float64(limit))), limit-1)
 }
 
-// hasFreeSlot reports whether a slot is free for a request of the lowest class.
-func (c *Controller) hasFreeSlot() bool {
-	return c.hasSlot(call.LowestRank(call.ClassLow))
+// hasFreeSlot reports whether a request of the lowest class could start.
+func (c *Controller) hasFreeSlot(now time.Time) bool {
+	return c.mayStart(now, call.LowestRank(call.ClassLow))
+}
+
+// mayStart reports whether a request of the given rank can start: it has a slot, and the rate limit allows it.
+func (c *Controller) mayStart(now time.Time, r call.Rank) bool {
+	return c.hasSlot(r) && c.rate.allows(now, r)
 }
 
 // wouldMissDeadline reports whether the deadline has passed or is nearer than the median running time, so that the
--- /dev/null
+++ b/internal/core/admission/ratelimit_test.go
@@ -0,0 +1,119 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+)
+
+// limitedLoad is a load of Poisson arrivals on a controller with a rate limit, as many entries send it together.
+type limitedLoad struct {
+	perSecond float64                    // rate limit
+	offered   [call.NumClasses]float64   // requests per second by class
+	offset    time.Duration              // time of the limit
+	length    time.Duration              // time for which requests are offered
+	started   []time.Duration            // times at which requests started, after the limit was set
+	classes   [call.NumClasses]classLoad // by class, after the limit was set
+}
+
+type classLoad struct{ offered, started int }
+
+// play offers the load in steps of the tick of the daemon. Requests take 200 ms and there are more slots than needed.
+func (l *limitedLoad) play(seed uint64) {
+	const step = 5 * time.Millisecond
+	rng := rand.New(rand.NewPCG(seed, seed))
+	c := New(Config{Slots: 1000, SlotsAnnounced: true, QueueDelay: 150 * time.Millisecond})
+	begin := time.Unix(1_800_000_000, 0)
+	ends := map[time.Duration][]uint64{}
+	var id uint64
+	classOf := map[uint64]call.Class{}
+	for at := time.Duration(0); at < l.length; at += step {
+		now := begin.Add(at)
+		if at == l.offset {
+			c.SetRateLimit(now, call.RateLimit{Limited: true, PerSecond: l.perSecond})
+		}
+		decisions := c.Tick(now)
+		for _, ended := range ends[at] {
+			decisions = append(decisions, c.Done(now, ended, Sample{SelfTime: 200 * time.Millisecond})...)
+		}
+		for class := range call.NumClasses {
+			for range poisson(rng, l.offered[class]*step.Seconds()) {
+				id++
+				classOf[id] = call.Class(class)
+				if at >= l.offset {
+					l.classes[class].offered++
+				}
+				decisions = append(decisions, c.Offer(now, Request{ID: id, Rank: call.NewRank(call.Class(class), string(rune(id)))})...)
+			}
+		}
+		for _, d := range decisions {
+			if d.Kind != Admitted {
+				continue
+			}
+			ends[at+200*time.Millisecond] = append(ends[at+200*time.Millisecond], d.ID)
+			if at >= l.offset {
+				l.started = append(l.started, at)
+				l.classes[classOf[d.ID]].started++
+			}
+		}
+	}
+}
+
+func poisson(rng *rand.Rand, mean float64) int {
+	n := 0
+	for t := rng.ExpFloat64(); t < mean; t += rng.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// mostWithin returns the largest number of starts in any window of the given length.
+func mostWithin(started []time.Duration, window time.Duration) int {
+	most, first := 0, 0
+	for i, at := range started {
+		for started[first] < at-window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// Guards against a backend server that gets more than the rate that it states in some seconds, or much less than that
+// although more is offered.
+func TestRateLimitIsKeptAndUsed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.Float64Range(0, 60).Draw(t, "limit")
+		l := limitedLoad{perSecond: perSecond, offset: time.Second, length: 21 * time.Second}
+		excess := rapid.Float64Range(3, 8).Draw(t, "excess")
+		for class := range l.offered {
+			l.offered[class] = excess * max(perSecond, 1) / call.NumClasses
+		}
+		l.play(rapid.Uint64().Draw(t, "seed"))
+		if got, allowed := mostWithin(l.started, 4*time.Second), int(1.5*4*perSecond)+5; got > allowed {
+			t.Fatalf("%d requests started in 4 s at a limit of %v per second, want at most %d", got, perSecond, allowed)
+		}
+		if got, want := len(l.started), int(0.9*perSecond*20)-1; got < want {
+			t.Fatalf("%d requests started in 20 s at a limit of %v per second, want at least %d", got, perSecond, want)
+		}
+	})
+}
+
+// Guards against refusing important requests while less important ones use up the rate: 99 entries share 7 requests a
+// second and offer 40, of which 3 are of the highest class.
+func TestRateLimitServesHighestClassFirst(t *testing.T) {
+	l := limitedLoad{perSecond: 7, offset: time.Second, length: 41 * time.Second}
+	l.offered[call.ClassCritical], l.offered[call.ClassNormal] = 3, 37
+	l.play(1)
+	critical := l.classes[call.ClassCritical]
+	if critical.started*20 < critical.offered*19 {
+		t.Errorf("%d of %d requests of the highest class started, want at least 95%%", critical.started, critical.offered)
+	}
+	if got := len(l.started); got < 252 {
+		t.Errorf("%d requests started in 40 s at 7 a second, want at least 252", got)
+	}
+}
--- a/internal/core/call/outcome.go
+++ b/internal/core/call/outcome.go
@@ -51,6 +51,7 @@
 	ReasonCanceled       Reason = "canceled"         // the caller canceled, or sent only a part, before dispatch
 	ReasonParentGone     Reason = "parent-gone"      // the request that a child call belongs to is no longer running
 	ReasonThrottled      Reason = "throttled"        // most requests of the route fail deep in the call graph; not started
+	ReasonRateLimit      Reason = "rate-limit"       // the rate that the backend server states is used up
 	ReasonBackendRefused Reason = "backend-refused"  // no connection to the backend server, or it refused the request
 )
 
--- a/internal/core/routing/upstream.go
+++ b/internal/core/routing/upstream.go
@@ -107,10 +107,11 @@
 	return max(own, u.reportedLoad*fresh+sent)
 }
 
-// refusedByUpstream reports whether the upstream's daemon refused the call, for overload or because of its deadline.
-// Its refusal carries the cutoff, load and failure rate.
+// refusedByUpstream reports whether the upstream's daemon refused the call, for overload, the rate limit of its backend
+// server or the call's deadline. Its refusal carries the cutoff, load and failure rate.
 func refusedByUpstream(info DoneInfo) bool {
-	return info.Outcome == call.OutcomeNotRun && (info.Reason == call.ReasonOverload || info.Reason == call.ReasonDeadline)
+	return info.Outcome == call.OutcomeNotRun && (info.Reason == call.ReasonOverload ||
+		info.Reason == call.ReasonRateLimit || info.Reason == call.ReasonDeadline)
 }
 
 // recordLatency adds a sample to the moving average of the latency.
--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -116,10 +116,20 @@
 	return q.controller.Load()
 }
 
-// loadPercent returns the number of running and waiting requests in percent of the limit.
+// loadPercent returns the number of running and waiting requests in percent of the limit, or the used part of the rate
+// limit if that is more.
 func (q *admissionQueue) loadPercent() int {
-	load := q.load()
-	return 100 * (load.InFlight + load.Waiting) / max(load.Limit, 1)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	load := q.controller.Load()
+	slots := 100 * (load.InFlight + load.Waiting) / max(load.Limit, 1)
+	return max(slots, int(100*q.controller.RateLoad(q.now())))
+}
+
+func (q *admissionQueue) setRateLimit(limit call.RateLimit) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.apply(q.controller.SetRateLimit(q.now(), limit))
 }
 
 func (q *admissionQueue) setConfig(cfg admission.Config) {
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -356,8 +356,8 @@
 // retryableOutcome reports whether an idempotent request with this result may succeed on another upstream.
 func retryableOutcome(o call.Outcome, r call.Reason) bool {
 	switch r {
-	case call.ReasonOverload, call.ReasonLeaving, call.ReasonWrongUpstream, call.ReasonBackendRefused,
-		call.ReasonTokenRefused:
+	case call.ReasonOverload, call.ReasonRateLimit, call.ReasonLeaving, call.ReasonWrongUpstream,
+		call.ReasonBackendRefused, call.ReasonTokenRefused:
 		return o == call.OutcomeNotRun
 	case call.ReasonConnectionLost, call.ReasonBackendCrashed, call.ReasonTruncated, call.ReasonAnswerMismatch:
 		return o == call.OutcomeUnknown
--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -101,6 +101,7 @@
 	}
 	if before.RateLimit != after.RateLimit {
 		d.log.Log(events.RateLimitChanged, after.ID, before.RateLimit, after.RateLimit, d.admission.load().Started)
+		d.admission.setRateLimit(after.RateLimit)
 	}
 	if before.Slots != after.Slots {
 		_, doc := d.config.Current()
