Let peers send back the rate limit that a restarted daemon has forgotten

Callers saw: nothing; after a restart of the daemon beside it, a backend server with a stated limit got all that was offered until its first response arrived (40 of 40 requests where 11 are allowed). Cause: the limit was known at one daemon only, and only since its start. Class of fault: state about a backend server that a daemon holds in memory and takes for absent after its own restart. Ruled out: a record in the store. It has outages, and a write for each change costs more than a field in calls that are sent anyway. A slow start after each restart would cost all those without a limit. Change: answers carry what the backend server stated, entries keep it per address and send it back; the daemon takes it for the instance it names until its first response, of several the lowest. An entry that has passed on a response with a limit knows it from the same answer, so that exactly the entries that are bound by the limit carry it.

--- a/internal/core/announce/tracker.go
+++ b/internal/core/announce/tracker.go
@@ -90,6 +90,8 @@
 	everVerified bool
 	knownSince   time.Time // arrival of the first heartbeat of the current start; zero if it was discovered
 	limitAt      time.Time // arrival of the last response that stated a rate limit
+	// responded is set once a response of the current start has arrived. It is newer than all that peers know.
+	responded bool
 }
 
 // NewTracker returns a tracker for the backend servers of a service, in state Unknown.
@@ -155,7 +157,7 @@
 func (t *Tracker) reset(now time.Time, h Heartbeat) {
 	t.current = Instance{ID: h.ID, StartUnixMilli: h.StartUnixMilli}
 	t.seq, t.crashedSeq, t.crashed = 0, 0, false
-	t.knownSince, t.limitAt = now, time.Time{}
+	t.knownSince, t.limitAt, t.responded = now, time.Time{}, false
 }
 
 // markReady records that the current start takes work.
@@ -217,6 +219,7 @@
 	if sentAt.Before(t.knownSince) {
 		return
 	}
+	t.responded = true
 	if r.RateLimit.Limited {
 		t.limitAt = now
 	} else if !sentAt.After(t.limitAt) {
@@ -225,6 +228,18 @@
 	t.current.RateLimit = r.RateLimit
 }
 
+// PeerReport records what another daemon has learned from earlier responses of an instance. This daemon has missed them
+// if it has just started. A rate limit counts until the first response; of several the lowest counts.
+func (t *Tracker) PeerReport(id string, startUnixMilli int64, r Report) {
+	otherStart := startUnixMilli != 0 && t.current.StartUnixMilli != 0 && startUnixMilli != t.current.StartUnixMilli
+	if id == "" || id != t.current.ID || otherStart || t.responded || !r.RateLimit.Limited {
+		return
+	}
+	if known := t.current.RateLimit; !known.Limited || r.RateLimit.PerSecond < known.PerSecond {
+		t.current.RateLimit = r.RateLimit
+	}
+}
+
 // MarkCrashed records that the backend server accepts no connections, until a newer heartbeat arrives. It has no effect
 // on a backend server that is leaving.
 func (t *Tracker) MarkCrashed() {
--- a/internal/core/announce/tracker_test.go
+++ b/internal/core/announce/tracker_test.go
@@ -161,3 +161,40 @@
 		t.Fatalf("limit %v by a response of the former start, want none", got)
 	}
 }
+
+// Guards against a surge after a restart of the daemon, which has forgotten the rate limit, and against a limit of peers
+// that outlives the first response or is taken over from another start or instance.
+func TestPeerReportHoldsUntilTheFirstResponse(t *testing.T) {
+	limit := func(perSecond float64) Report {
+		return Report{RateLimit: call.RateLimit{Limited: true, PerSecond: perSecond}}
+	}
+	tr := NewTracker("lookup")
+	tr.PeerReport("i-1", 5, limit(9))
+	tr.Discover("i-1", 10)
+	for _, peer := range []struct {
+		id        string
+		start     int64
+		perSecond float64
+		want      call.RateLimit
+	}{
+		{"i-2", 5, 1, call.RateLimit{}},
+		{"i-1", 5, 7, limit(7).RateLimit},
+		{"i-1", 5, 8, limit(7).RateLimit},
+		{"i-1", 0, 6, limit(6).RateLimit},
+	} {
+		tr.PeerReport(peer.id, peer.start, limit(peer.perSecond))
+		if got := tr.Current().RateLimit; got != peer.want {
+			t.Errorf("limit %v after a report of %v for %s, want %v", got, peer.perSecond, peer.id, peer.want)
+		}
+	}
+	tr.Response(start.Add(2*time.Second), start.Add(time.Second), Report{})
+	tr.PeerReport("i-1", 5, limit(7))
+	if got := tr.Current().RateLimit; got.Limited {
+		t.Errorf("limit %v after a response without one, want none", got)
+	}
+	_ = tr.Heartbeat(start.Add(3*time.Second), heartbeat(6, 1, false))
+	tr.PeerReport("i-1", 5, limit(7))
+	if got := tr.Current().RateLimit; got.Limited {
+		t.Errorf("limit %v of an earlier start, want none", got)
+	}
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -25,6 +25,7 @@
 func (d *Daemon) ServeCall(s *transport.CallStream) {
 	<-d.ready
 	d.recordPeerVersion(s.Header().From, s.Header().Config)
+	d.recordPeerReport(s.Header().Backend)
 	d.upstream.serveCall(s)
 }
 
@@ -107,7 +108,7 @@
 	}
 	res := tableResult(decision, answer, err)
 	return &wire.ResolveAnswer{Outcome: res.outcome, Reason: res.reason, Status: res.status, Header: res.header,
-		Body: res.bodyPrefix}
+		Body: res.bodyPrefix, Backend: u.backendReport()}
 }
 
 // quarantineRecords is the payload of a wire.Quarantine message.
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -41,6 +41,7 @@
 	// observeVersion is called with the address and the configuration version of each peer that answers.
 	observeVersion func(address string, v wire.ConfigVersion)
 	now            func() time.Time
+	backends       backendReports
 
 	mu  sync.Mutex // protects rng
 	rng *rand.Rand
@@ -249,7 +250,7 @@
 	if !req.routed { // the calls of a routed request are requests of their own and use none of its retries
 		granted = req.retryBudget.Grant()
 	}
-	header := d.header(req, target.Incarnation, fields, body)
+	header := d.header(req, target, fields, body)
 	header.Retries = granted
 	answer, err := d.peers.Call(ctx, target.Address, header, reader)
 	req.waited += d.now().Sub(started)
@@ -262,12 +263,13 @@
 		return a
 	}
 	d.observeVersion(target.Address, answer.Header.Config)
+	d.backends.record(target.Address, answer.Header.Outcome, answer.Header.Backend)
 	req.recordCutoff(answer.Header.Cutoff)
 	return d.attemptFromAnswer(req, target.Address, d.now().Sub(started), answer, granted, reportDone)
 }
 
 // header builds the call header of one attempt.
-func (d *dispatcher) header(req *request, incarnation call.Incarnation, fields []wire.Header,
+func (d *dispatcher) header(req *request, target routing.Candidate, fields []wire.Header,
 	body *requestBody) *wire.CallHeader {
 	return &wire.CallHeader{
 		RootID:      req.rootID,
@@ -275,7 +277,7 @@
 		Depth:       req.depth,
 		Timeout:     req.deadline.Sub(d.now()),
 		Service:     req.service,
-		Incarnation: incarnation,
+		Incarnation: target.Incarnation,
 		Token:       req.tokenRaw,
 		Minted:      req.minted,
 		Method:      req.op.Method,
@@ -286,6 +288,7 @@
 		Config:      wireVersion(d.config),
 		From:        d.self,
 		Retried:     req.retried || req.origin.retriedShare >= 0.5,
+		Backend:     d.backends.get(target.Address),
 	}
 }
 
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -202,6 +202,7 @@
 		Load:        u.admission.loadPercent(),
 		FailureRate: u.failures.percent(),
 		Overloaded:  res.overloaded,
+		Backend:     u.backendReport(),
 	}
 	unusedRetries := func() int { return takeAllRetries(c.retryBudget) }
 	if res.outcome != call.OutcomeAnswered {
--- a/internal/daemon/tokencall.go
+++ b/internal/daemon/tokencall.go
@@ -113,6 +113,7 @@
 		return unknown(unknownReason(a))
 	}
 	r := reply.ResolveAnswer
+	d.backends.record(req.token.Upstream, r.Outcome, r.Backend)
 	return &result{outcome: r.Outcome, reason: r.Reason, upstream: req.token.Upstream, status: r.Status, header: r.Header,
 		length: int64(len(r.Body)), bodyPrefix: r.Body, body: noBody}
 }
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -64,6 +64,20 @@
 	// Retried is set when the call is a retry, or belongs to a request that is one. The calls that its run makes count
 	// as retries too.
 	Retried bool `cbor:"17,keyasint,omitempty"`
+	// Backend is what the caller's daemon has learned about the backend server from its responses, nil for nothing.
+	Backend *BackendReport `cbor:"18,keyasint,omitempty"`
+}
+
+// BackendReport is what a backend server has stated about itself in its responses. The daemon beside it sends it to the
+// daemons that it answers, and these send it back with their calls, because the daemon beside the backend server forgets it
+// at a restart.
+type BackendReport struct {
+	// Instance and StartUnixMilli identify the start of the backend server. StartUnixMilli is 0 if it isn't known.
+	Instance       string `cbor:"1,keyasint"`
+	StartUnixMilli int64  `cbor:"2,keyasint,omitempty"`
+	// Limited is set if the backend server limits the rate of its requests to RateLimit per second.
+	Limited   bool    `cbor:"3,keyasint,omitempty"`
+	RateLimit float64 `cbor:"4,keyasint,omitempty"`
 }
 
 // AnswerHeader opens the answer to a call. Where Outcome is call.OutcomeAnswered, the body follows in frames and
@@ -87,6 +101,8 @@
 	FailureRate int `cbor:"10,keyasint,omitempty"`
 	// Overloaded is set when the request failed because a call that it depends on was refused because of overload.
 	Overloaded bool `cbor:"11,keyasint,omitempty"`
+	// Backend is what the backend server has stated about itself, nil for nothing.
+	Backend *BackendReport `cbor:"12,keyasint,omitempty"`
 }
 
 // Trailer ends the body of an answer. A body that ends without a Trailer is truncated.
@@ -148,6 +164,8 @@
 	Status  int          `cbor:"3,keyasint,omitempty"`
 	Header  []Header     `cbor:"4,keyasint,omitempty"`
 	Body    []byte       `cbor:"5,keyasint,omitempty"`
+	// Backend is what the backend server has stated about itself, nil for nothing.
+	Backend *BackendReport `cbor:"6,keyasint,omitempty"`
 }
 
 // Membership carries an encoded message of the membership state machine.
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"strings"
 
 	"guavapoint.example/guavapoint/internal/core/call"
@@ -26,6 +27,14 @@
 	case h.BodyLength < -1:
 		return &FieldError{k, "BodyLength", h.BodyLength, "-1 or more"}
 	}
+	return h.Backend.validate(k)
+}
+
+// validate rejects limits that no daemon sends. A nil report is valid.
+func (r *BackendReport) validate(k Kind) error {
+	if r != nil && !(r.RateLimit >= 0 && r.RateLimit <= math.MaxFloat64) { // also rejects NaN
+		return &FieldError{k, "Backend.RateLimit", r.RateLimit, "a finite number of 0 or more"}
+	}
 	return nil
 }
 
@@ -41,7 +50,7 @@
 	case h.UnusedRetries < 0:
 		return &FieldError{k, "Unspent", h.UnusedRetries, "0 or more"}
 	}
-	return nil
+	return h.Backend.validate(k)
 }
 
 func (t *Trailer) validate() error {
@@ -68,5 +77,8 @@
 	if set != 1 {
 		return &FieldError{KindRequest, "message", set, "exactly one; the value is their number"}
 	}
+	if m.ResolveAnswer != nil {
+		return m.ResolveAnswer.Backend.validate(KindRequest)
+	}
 	return nil
 }
