Take the leaving of a backend server from its responses too

Cause: only heartbeats and notices were read, and what they say is lost when the daemon beside the backend server restarts; a late heartbeat then made a leaving instance ready again where only its ID was known. Class of fault: as with the rate limit, state of one daemon's memory taken for absent. Ruled out: leaving out the upstream at each entry alone, see docs/decisions/leaving.md. Change: a response is read like a heartbeat; entries send the leaving back with their calls; a heartbeat of a backend server that started before its ID became known belongs to the known instance.

--- a/internal/core/announce/tracker.go
+++ b/internal/core/announce/tracker.go
@@ -89,6 +89,9 @@
 	// leave, so a first heartbeat of a new start needs no verification.
 	everVerified bool
 	knownSince   time.Time // arrival of the first heartbeat of the current start; zero if it was discovered
+	// identifiedAt is the time at which the current instance became known by its ID alone, without its start. It is zero
+	// otherwise.
+	identifiedAt time.Time
 	limitAt      time.Time // arrival of the last response that stated a rate limit
 	// responded is set once a response of the current start has arrived. It is newer than all that peers know.
 	responded bool
@@ -115,6 +118,7 @@
 	if !t.sameStart(h) {
 		t.reset(now, h)
 	}
+	t.current.StartUnixMilli, t.identifiedAt = h.StartUnixMilli, time.Time{}
 	hasPrevious := t.seq > 0
 	t.updateInterval(now, hasPrevious)
 	t.seq = h.Seq
@@ -148,8 +152,12 @@
 	return t.current.State == Ready && t.interval > 0 && now.Sub(t.lastHeartbeat) > overdueIntervals*t.interval
 }
 
-// sameStart reports whether a heartbeat comes from the current start.
+// sameStart reports whether a heartbeat comes from the current start. If only the ID of that is known, a heartbeat of a
+// backend server that started before the ID became known does: it must not undo what was learned about the instance.
 func (t *Tracker) sameStart(h Heartbeat) bool {
+	if h.ID == t.current.ID && !t.identifiedAt.IsZero() {
+		return h.StartUnixMilli <= t.identifiedAt.UnixMilli()
+	}
 	return h.ID == t.current.ID && h.StartUnixMilli == t.current.StartUnixMilli
 }
 
@@ -158,6 +166,7 @@
 	t.current = Instance{ID: h.ID, StartUnixMilli: h.StartUnixMilli}
 	t.seq, t.crashedSeq, t.crashed = 0, 0, false
 	t.knownSince, t.limitAt, t.responded = now, time.Time{}, false
+	t.identifiedAt = time.Time{}
 }
 
 // markReady records that the current start takes work.
@@ -175,14 +184,15 @@
 	}
 }
 
-// Discover records an instance that passed a health check before any heartbeat arrived, as after a restart of the
+// Discover records an instance that passed a health check at now before any heartbeat arrived, as after a restart of the
 // daemon. slots is the number of slots that it is assumed to have until its first heartbeat. Discover has no effect if
 // an instance is known already or id is empty.
-func (t *Tracker) Discover(id string, slots int) {
+func (t *Tracker) Discover(now time.Time, id string, slots int) {
 	if t.current != (Instance{}) || id == "" {
 		return
 	}
 	t.current = Instance{ID: id, Slots: slots}
+	t.identifiedAt = now
 	t.markReady()
 }
 
@@ -196,9 +206,10 @@
 
 // MarkLeaving records the notice that an instance leaves, and reports whether the backend server is leaving now. A
 // notice for another instance has no effect. If no instance is known, the notice's instance becomes the current one.
-func (t *Tracker) MarkLeaving(id string) bool {
+func (t *Tracker) MarkLeaving(now time.Time, id string) bool {
 	if t.current.ID == "" {
 		t.current.ID = id
+		t.identifiedAt = now
 	}
 	if t.current.ID == id {
 		t.current.State = Leaving
@@ -209,10 +220,12 @@
 // Report is what a backend server's response says about the backend server itself.
 type Report struct {
 	RateLimit call.RateLimit
+	// Leaving is set if the backend server leaves.
+	Leaving bool
 }
 
-// Response records the report of a response that arrived at now, to a request that was sent at sentAt. A rate limit
-// holds until a response without one arrives, but not one to a request that was sent before the limit was last stated:
+// Response records the report of a response that arrived at now, to a request that was sent at sentAt. A backend server
+// that leaves takes no more work, as after a heartbeat that says so. A rate limit holds until a response without one arrives, but not one to a request that was sent before the limit was last stated:
 // responses on several connections overtake each other. Responses to requests that were sent to an earlier start have
 // no effect.
 func (t *Tracker) Response(now, sentAt time.Time, r Report) {
@@ -220,6 +233,9 @@
 		return
 	}
 	t.responded = true
+	if r.Leaving && t.current.ID != "" {
+		t.current.State = Leaving
+	}
 	if r.RateLimit.Limited {
 		t.limitAt = now
 	} else if !sentAt.After(t.limitAt) {
@@ -229,13 +245,18 @@
 }
 
 // PeerReport records what another daemon has learned from earlier responses of an instance. This daemon has missed them
-// if it has just started. A rate limit counts until the first response; of several the lowest counts.
+// if it has just started. That the instance leaves is final. A rate limit counts until the first response; of several the
+// lowest counts.
 func (t *Tracker) PeerReport(id string, startUnixMilli int64, r Report) {
 	otherStart := startUnixMilli != 0 && t.current.StartUnixMilli != 0 && startUnixMilli != t.current.StartUnixMilli
-	if id == "" || id != t.current.ID || otherStart || t.responded || !r.RateLimit.Limited {
+	if id == "" || id != t.current.ID || otherStart {
 		return
 	}
-	if known := t.current.RateLimit; !known.Limited || r.RateLimit.PerSecond < known.PerSecond {
+	if r.Leaving {
+		t.current.State = Leaving
+	}
+	known := t.current.RateLimit
+	if !t.responded && r.RateLimit.Limited && (!known.Limited || r.RateLimit.PerSecond < known.PerSecond) {
 		t.current.RateLimit = r.RateLimit
 	}
 }
--- a/internal/core/announce/tracker_test.go
+++ b/internal/core/announce/tracker_test.go
@@ -24,19 +24,27 @@
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			startMillis := rapid.Int64Range(1, 3).Draw(t, "born")
 			seq := rapid.Uint64Range(1, 20).Draw(t, "seq")
-			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0:
 				if tr.Heartbeat(start, heartbeat(startMillis, seq, true)) == nil {
 					left[startMillis] = true
 				}
 			case 1:
-				if tr.MarkLeaving("i-1") {
+				if tr.MarkLeaving(start, "i-1") {
 					left[tr.Current().StartUnixMilli] = true
 				}
 			case 2:
 				tr.MarkCrashed()
 			case 3:
 				tr.MarkVerified("i-1")
+			case 4:
+				if tr.Response(start, start, Report{Leaving: true}); tr.Current().State == Leaving {
+					left[tr.Current().StartUnixMilli] = true
+				}
+			case 5:
+				if tr.PeerReport("i-1", startMillis, Report{Leaving: true}); tr.Current().State == Leaving {
+					left[tr.Current().StartUnixMilli] = true
+				}
 			default:
 				_ = tr.Heartbeat(start, heartbeat(startMillis, seq, false))
 			}
@@ -92,7 +100,7 @@
 // server takes work, and against a discovery that overrides the slots or the state that heartbeats have stated.
 func TestDiscover(t *testing.T) {
 	tr := NewTracker("lookup")
-	tr.Discover("i-1", 3)
+	tr.Discover(start, "i-1", 3)
 	if now := tr.Current(); now.State != Ready || now.Slots != 3 {
 		t.Fatalf("after discovery: %+v", now)
 	}
@@ -106,8 +114,8 @@
 	if now := tr.Current(); now.State != Ready || now.Slots != 10 || now.StartUnixMilli != 7 {
 		t.Fatalf("after the first heartbeat: %+v", now)
 	}
-	tr.MarkLeaving("i-1")
-	tr.Discover("i-1", 3)
+	tr.MarkLeaving(start, "i-1")
+	tr.Discover(start, "i-1", 3)
 	if tr.Current().State != Leaving {
 		t.Fatal("discovery made a leaving backend server ready again")
 	}
@@ -170,7 +178,7 @@
 	}
 	tr := NewTracker("lookup")
 	tr.PeerReport("i-1", 5, limit(9))
-	tr.Discover("i-1", 10)
+	tr.Discover(start, "i-1", 10)
 	for _, peer := range []struct {
 		id        string
 		start     int64
@@ -198,3 +206,32 @@
 		t.Errorf("limit %v of an earlier start, want none", got)
 	}
 }
+
+// Guards against work for a leaving backend server that is known by its ID alone, as after a restart of the daemon: a late
+// heartbeat of the same start makes it ready again. A later start must take work.
+func TestLateHeartbeatKeepsTheLeaving(t *testing.T) {
+	learn := map[string]func(*Tracker){
+		"notice":   func(tr *Tracker) { tr.MarkLeaving(start, "i-1") },
+		"response": func(tr *Tracker) { tr.Response(start, start, Report{Leaving: true}) },
+		"peer":     func(tr *Tracker) { tr.PeerReport("i-1", 0, Report{Leaving: true}) },
+	}
+	for name, leave := range learn {
+		tr := NewTracker("lookup")
+		if name != "notice" {
+			tr.Discover(start, "i-1", 10)
+		}
+		leave(tr)
+		before := start.Add(-time.Minute).UnixMilli()
+		_ = tr.Heartbeat(start.Add(time.Second), heartbeat(before, 7, false))
+		_ = tr.Heartbeat(start.Add(2*time.Second), heartbeat(before, 8, false))
+		if got := tr.Current(); got.State != Leaving || got.StartUnixMilli != before {
+			t.Errorf("%s: state %v of start %d after late heartbeats, want leaving of start %d", name, got.State, got.StartUnixMilli, before)
+		}
+		after := start.Add(time.Minute).UnixMilli()
+		_ = tr.Heartbeat(start.Add(2*time.Minute), heartbeat(after, 1, false))
+		_ = tr.Heartbeat(start.Add(3*time.Minute), heartbeat(after, 2, false))
+		if got := tr.Current().State; got != Ready {
+			t.Errorf("%s: state %v of the next start, want ready", name, got)
+		}
+	}
+}
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -100,7 +100,7 @@
 		return
 	}
 	if platform.HasSignature(resp.Header) || platform.NotExecuted(resp.StatusCode, resp.Header) {
-		b.recordReport(sentAt, announce.Report{RateLimit: platform.RateLimit(resp.Header)})
+		b.recordReport(sentAt, announce.Report{RateLimit: platform.RateLimit(resp.Header), Leaving: platform.Leaving(resp.Header)})
 	}
 }
 
--- a/internal/daemon/backendreports.go
+++ b/internal/daemon/backendreports.go
@@ -44,11 +44,12 @@
 		return nil
 	}
 	known := u.instance.current()
-	if !known.RateLimit.Limited {
+	leaving := known.State == announce.Leaving
+	if !known.RateLimit.Limited && !leaving {
 		return nil
 	}
-	return &wire.BackendReport{Instance: known.ID, StartUnixMilli: known.StartUnixMilli, Limited: true,
-		RateLimit: known.RateLimit.PerSecond}
+	return &wire.BackendReport{Instance: known.ID, StartUnixMilli: known.StartUnixMilli,
+		Limited: known.RateLimit.Limited, RateLimit: known.RateLimit.PerSecond, Leaving: leaving}
 }
 
 // recordPeerReport records what a peer has learned about the backend server beside this daemon; nil is nothing.
@@ -56,7 +57,7 @@
 	if r == nil || d.instance == nil {
 		return
 	}
-	report := announce.Report{RateLimit: call.RateLimit{Limited: r.Limited, PerSecond: r.RateLimit}}
+	report := announce.Report{RateLimit: call.RateLimit{Limited: r.Limited, PerSecond: r.RateLimit}, Leaving: r.Leaving}
 	_ = d.updateInstance(func(t *announce.Tracker) error {
 		t.PeerReport(r.Instance, r.StartUnixMilli, report)
 		return nil
--- a/internal/daemon/heartbeat.go
+++ b/internal/daemon/heartbeat.go
@@ -78,7 +78,7 @@
 // serveInstanceLeaving handles the notice that an instance is leaving.
 func (d *Daemon) serveInstanceLeaving(w http.ResponseWriter, r *http.Request) {
 	id := mux.Vars(r)["id"]
-	_ = d.updateInstance(func(t *announce.Tracker) error { t.MarkLeaving(id); return nil }) // always nil
+	_ = d.updateInstance(func(t *announce.Tracker) error { t.MarkLeaving(d.now(), id); return nil }) // always nil
 	writeAcknowledgement(w)
 }
 
@@ -150,7 +150,7 @@
 	if err != nil {
 		return // the backend server isn't up yet or is leaving; its heartbeats will show which
 	}
-	_ = d.updateInstance(func(t *announce.Tracker) error { t.Discover(id, discoveredSlots); return nil }) // always nil
+	_ = d.updateInstance(func(t *announce.Tracker) error { t.Discover(d.now(), id, discoveredSlots); return nil }) // always nil
 	if d.relay == nil {
 		return
 	}
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -78,6 +78,8 @@
 	// Limited is set if the backend server limits the rate of its requests to RateLimit per second.
 	Limited   bool    `cbor:"3,keyasint,omitempty"`
 	RateLimit float64 `cbor:"4,keyasint,omitempty"`
+	// Leaving is set if the backend server leaves.
+	Leaving bool `cbor:"5,keyasint,omitempty"`
 }
 
 // AnswerHeader opens the answer to a call. Where Outcome is call.OutcomeAnswered, the body follows in frames and
