Show the demand over a stated rate in the load, and let nobody wait in vain

Callers saw: with the limits kept, 7% of the whois queries late or refused (335 late, 73 refused of 5,673) although the one backend server without a limit had room; requests went from one full gate to the next (2,935 refusals logged, at most 20 lines a second) and gave up after three. Cause: a used-up rate was reported as load 1, which fades below the threshold of 0.9 in 100 ms, so that entries came back ten times a second; and each request waited the whole queue delay even behind more than could start in it. Ruled out: unused capacity at the gates: the three limited backend servers got 0.99 to 1.00 of their rates. More attempts per request: each costs a round trip and, at a full gate, the wait. Change: the load in the answers is the demand relative to the rate while the burst is used up; the queue holds what can start within the queue delay. Tests, both seen failing: TestLoadShowsDemandOverRateLimit, TestRateLimitBoundsTheQueue.

--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -130,6 +130,7 @@
 		return append(c.advance(now, nil), Decision{req.ID, Refused, call.ReasonDeadline})
 	}
 	c.cutoff.recordOffered(req.Rank)
+	c.rate.demand.record(now)
 	// The request joins the queue before expired requests are refused, so that it isn't left waiting when a request of
 	// a higher class is refused.
 	c.queue.insert(queuedRequest{Request: req, queuedAt: now})
@@ -193,7 +194,8 @@
 	return c.advance(now, nil)
 }
 
-// RateLoad returns the share of the rate limit's burst that is used up, from 0 to 1. It is 0 without a rate limit.
+// RateLoad returns the demand relative to the rate limit, and less while some of its burst is left. It is 0 without a
+// rate limit.
 func (c *Controller) RateLoad(now time.Time) float64 {
 	return c.rate.load(now)
 }
@@ -260,7 +262,7 @@
 
 // shedExcess refuses the waiting requests of lowest rank until the queue length is within queueBound.
 func (c *Controller) shedExcess(now time.Time, decisions []Decision) []Decision {
-	for bound := c.queueBound(); c.queue.len() > bound; {
+	for bound := min(c.queueBound(), c.rate.queueBound(c.cfg.QueueDelay)); c.queue.len() > bound; {
 		decisions = c.shed(now, c.queue.len()-1, decisions)
 	}
 	return decisions
--- a/internal/core/admission/ratelimit.go
+++ b/internal/core/admission/ratelimit.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -28,6 +29,31 @@
 type rateLimiter struct {
 	limit  call.RateLimit
 	bucket *rate.Limiter // nil without a limit
+	demand demand
+}
+
+// demandTime is the time constant of the average of the demand. It covers several round trips between regions, after
+// which the callers have adapted to the load that they were told.
+const demandTime = time.Second
+
+// demand is an exponentially weighted average of the requests offered per second.
+type demand struct {
+	perSecond float64
+	at        time.Time
+}
+
+// advance lets the average decay until now.
+func (d *demand) advance(now time.Time) {
+	if now.After(d.at) {
+		d.perSecond *= math.Exp(-now.Sub(d.at).Seconds() / demandTime.Seconds())
+		d.at = now
+	}
+}
+
+// record counts an offered request.
+func (d *demand) record(now time.Time) {
+	d.advance(now)
+	d.perSecond += 1 / demandTime.Seconds()
 }
 
 // set changes the limit. The bucket of a new limit is empty: before, requests started without counting.
@@ -70,12 +96,24 @@
 	}
 }
 
-// load returns the used share of the burst that all classes may use, from 0 to 1. It is 0 without a limit.
+// load returns the demand relative to the limit. While some of the burst is left it is less, down to 0. It is 0 without a
+// limit.
 func (l *rateLimiter) load(now time.Time) float64 {
 	if l.bucket == nil {
 		return 0
 	}
+	l.demand.advance(now)
 	usable := float64(l.bucket.Burst() - reservedBurst)
 	left := l.bucket.TokensAt(now) - reservedBurst
-	return 1 - min(max(left, 0), usable)/usable
+	used := 1 - min(max(left, 0), usable)/usable
+	return used * max(l.demand.perSecond/float64(l.bucket.Limit()), 1)
+}
+
+// queueBound returns the number of waiting requests that the limit allows to start within the queue delay, and one that
+// the burst may let start. Others would only wait to be refused.
+func (l *rateLimiter) queueBound(delay time.Duration) int {
+	if l.bucket == nil {
+		return math.MaxInt
+	}
+	return int(float64(l.bucket.Limit())*delay.Seconds()) + 1
 }
--- a/internal/core/admission/ratelimit_test.go
+++ b/internal/core/admission/ratelimit_test.go
@@ -117,3 +117,44 @@
 		t.Errorf("%d requests started in 40 s at 7 a second, want at least 252", got)
 	}
 }
+
+// Guards against entries that come back to a backend server whose rate is used up, because its load looks like that of
+// one with a slot left, and against ones that avoid it although its rate is not used up.
+func TestLoadShowsDemandOverRateLimit(t *testing.T) {
+	for _, c := range []struct {
+		offered, least, most float64
+	}{{offered: 80, least: 2, most: 6}, {offered: 10, least: 0, most: 0.9}} {
+		now := time.Unix(1_800_000_000, 0)
+		q := New(Config{Slots: 1000, SlotsAnnounced: true, QueueDelay: 150 * time.Millisecond})
+		q.SetRateLimit(now, call.RateLimit{Limited: true, PerSecond: 20})
+		interval := time.Duration(float64(time.Second) / c.offered)
+		for id := range uint64(4 * c.offered) {
+			now = now.Add(interval)
+			q.Tick(now)
+			q.Offer(now, Request{ID: id + 1, Rank: call.LowestRank(call.ClassNormal)})
+		}
+		if got := q.RateLoad(now); got < c.least || got > c.most {
+			t.Errorf("load %.2f at %v requests per second and a limit of 20, want %v to %v", got, c.offered, c.least, c.most)
+		}
+	}
+}
+
+// Guards against requests that wait for the queue delay only to be refused: at 20 requests a second, 3 of those that wait
+// can start within 150 ms.
+func TestRateLimitBoundsTheQueue(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	q := New(Config{Slots: 1000, SlotsAnnounced: true, QueueDelay: 150 * time.Millisecond})
+	q.SetRateLimit(now, call.RateLimit{Limited: true, PerSecond: 20})
+	refused := 0
+	for id := range uint64(50) {
+		for _, d := range q.Offer(now, Request{ID: id + 1, Rank: call.LowestRank(call.ClassNormal)}) {
+			if d.Kind != Refused || d.Reason != call.ReasonRateLimit {
+				t.Fatalf("decision %+v, want refusals because of the rate limit only", d)
+			}
+			refused++
+		}
+	}
+	if got := q.Load().Waiting; got > 4 || got+refused != 50 {
+		t.Errorf("%d requests wait and %d are refused, want at most 4 to wait and all others refused", got, refused)
+	}
+}
--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -116,8 +116,8 @@
 	return q.controller.Load()
 }
 
-// loadPercent returns the number of running and waiting requests in percent of the limit, or the used part of the rate
-// limit if that is more.
+// loadPercent returns the number of running and waiting requests in percent of the limit, or the demand in percent of the
+// rate limit if that is more.
 func (q *admissionQueue) loadPercent() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
