Check for leaving after a suspect has waited to run alone

Cause: whether the backend server takes work was checked after the admission, but before the wait of a suspect, or of requests behind one, for their turn. That wait ends only with the requests in flight, which may take longer than a leaving backend server takes new work. Change: one check after both waits. Order of the waits kept: those in the second one hold a slot, so that their number stays bounded. Test: TestWaitingSuspectDoesNotRunAfterLeaving, seen failing (2 requests ran instead of 1). Open: requests that wait there have taken their part of a stated rate and start together when the suspect ends; with waits of more than 2 s that can exceed the rate's bound.

--- a/internal/daemon/leaving_test.go
+++ b/internal/daemon/leaving_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"guavapoint.example/guavapoint/internal/core/quarantine"
 )
 
 // leavingCluster is a cluster of a backend server of the service lookup and an entry of another service. While leaving is
@@ -75,3 +79,37 @@
 	})
 	c.expectNoWork(t)
 }
+
+// Guards against a suspect that starts on a leaving backend server: it is admitted before, and waits until it can run
+// alone. That may take longer than a leaving backend server takes new work.
+func TestWaitingSuspectDoesNotRunAfterLeaving(t *testing.T) {
+	s := newTestCluster(t)
+	s.withOperatorConfig()
+	b := newAnnouncedBackend(t, "i-1")
+	release := make(chan struct{})
+	b.answer = func(_ http.ResponseWriter, r *http.Request) bool {
+		if r.URL.Path == "/read/first" {
+			<-release
+		}
+		return false
+	}
+	n := s.startReady(t, b)
+	later := time.Now().Add(time.Hour)
+	n.quarantine.merge([]quarantine.Record{{Fingerprint: quarantine.NewFingerprint("lookup", http.MethodGet, "/read/suspect", nil),
+		SuspectUntil: later, KeepUntil: later}})
+	var requests sync.WaitGroup
+	requests.Go(func() { n.request(t, http.MethodGet, "/read/first") })
+	waitUntil(t, "the first request runs", func() bool { return b.runs.Load() == 1 })
+	requests.Go(func() {
+		if got := n.request(t, http.MethodGet, "/read/suspect"); got.status != http.StatusServiceUnavailable {
+			t.Errorf("suspect: status %d, want 503", got.status)
+		}
+	})
+	waitUntil(t, "the suspect is admitted", func() bool { return n.admission.load().InFlight == 2 })
+	n.heartbeat(t, "i-1", 2, "draining")
+	close(release)
+	requests.Wait()
+	if got := b.runs.Load(); got != 1 {
+		t.Errorf("%d requests ran, want only the one that was running when the backend server began to leave", got)
+	}
+}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -160,15 +160,16 @@
 	if reason != call.ReasonNone {
 		return notRun(reason)
 	}
-	if !u.acceptsWork() {
-		u.admission.abandon(id)
-		return notRun(call.ReasonLeaving)
-	}
 	finishRun, reason := u.quarantine.acquire(ctx, c.fingerprint)
 	if reason != call.ReasonNone {
 		u.admission.abandon(id)
 		return notRun(reason)
 	}
+	if !u.acceptsWork() { // the backend server may have begun to leave while the call waited
+		finishRun(false)
+		u.admission.abandon(id)
+		return notRun(call.ReasonLeaving)
+	}
 	h := &hop{rootID: c.header.RootID, rank: c.header.Rank, depth: c.header.Depth, deadline: c.deadline,
 		retryBudget: c.retryBudget, ctx: c.backendCtx, retried: c.header.Retried,
 		callDeadline: c.deadline.Add(-deadlineMargin)}
