Report a restore of the store by its era

Callers saw: nothing. Cause of this step: the logs couldn't tell a restored store from one that was away, nor when a daemon learned of it. Nothing else depends on it yet.

--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -132,6 +132,7 @@
 	return store.ErrUnavailable
 }
 
+func (s *fakeStore) Era() uint64                                                 { return 0 }
 func (s *fakeStore) List(context.Context, string) ([]store.KV, int64, error)     { panic("unused") }
 func (s *fakeStore) ListStale(context.Context, string) ([]store.KV, error)       { panic("unused") }
 func (s *fakeStore) Delete(context.Context, string) error                        { panic("unused") }
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -80,6 +80,16 @@
 	RemoteMember() (string, bool)
 }
 
+// StoreRestoredError reports that the store was restored from an older copy.
+type StoreRestoredError struct {
+	From, To uint64 // era before and after
+}
+
+// Error implements error.
+func (e *StoreRestoredError) Error() string {
+	return fmt.Sprintf("the store was restored from an older copy: era %d, before %d", e.To, e.From)
+}
+
 // Relay competes for one of the leases of the daemon's zone. While it holds one, it connects the zone to the platform
 // and to the other zones: it writes and reads zone summaries and exchanges tables with other zones. The members with the
 // lowest ring positions also watch or read the configuration. It is safe for concurrent use, except that calls of Tick must not overlap.
@@ -105,6 +115,7 @@
 	nextSummaryWrite   time.Time
 	nextSummaryRead    time.Time
 	nextConfigRead     time.Time
+	era                uint64 // of the store when Tick last ran, 0 if it wasn't known
 	leaseIndex         int    // of the lease that is held, below relaysPerZone
 	writtenHash        uint64 // zone hash of the last summary that this relay wrote
 	pendingHash        uint64 // current zone hash, unchanged since pendingSince
@@ -150,6 +161,7 @@
 // store, each with the store's timeout.
 func (r *Relay) Tick(ctx context.Context) {
 	now := r.now()
+	r.checkEra()
 	if !now.Before(r.nextLeaseCheck) {
 		r.tickLease(ctx, now)
 	}
@@ -168,6 +180,15 @@
 	r.exchangeTables(now)
 }
 
+// checkEra reports a restore of the store from an older copy.
+func (r *Relay) checkEra() {
+	era := r.store.Era()
+	if r.era != 0 && era != r.era {
+		r.report(&StoreRestoredError{From: r.era, To: era})
+	}
+	r.era = era
+}
+
 // readConfig reads the configuration from the store if none is in effect, or if this daemon is one of the readers that
 // don't watch it.
 func (r *Relay) readConfig(ctx context.Context, now time.Time) {
--- a/internal/daemon/configsync.go
+++ b/internal/daemon/configsync.go
@@ -51,7 +51,10 @@
 // logRelayError logs an error from which the relay recovers without intervention.
 func (d *Daemon) logRelayError(err error) {
 	v, _ := d.config.Current()
+	var restored *control.StoreRestoredError
 	switch {
+	case errors.As(err, &restored):
+		d.log.Log(events.StoreRestored, restored.From, restored.To, v.Revision)
 	case errors.Is(err, control.ErrStoreBehind):
 		d.log.Log(events.ConfigStoreOlder, nil, nil, v.Epoch, v.Revision)
 	case errors.Is(err, control.ErrBadDocument):
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -88,5 +88,6 @@
 	PlatformWriteUnknown = limited(6007, warning, "platform-write-unknown", "the outcome of a platform write is not known", "operation", "error")
 	TraceExportFailed    = limited(6008, warning, "trace-export-failed", "trace spans could not be exported", "error")
 	PeersUnauthenticated = define(6010, warning, "peers-unauthenticated", "the settings name no certificates; connections between daemons are neither encrypted nor authenticated")
+	StoreRestored        = define(6011, warning, "store-restored", "the platform's store was restored from an older copy", "from_era", "to_era", "config_revision")
 	CertificateExpiring  = define(6009, failure, "certificate-expiring", "this daemon's certificate expires soon", "expires")
 )
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -65,4 +65,8 @@
 	// if fromRev is 0. It returns the error of f, the context's error, ErrCompacted, or ErrUnavailable when the stream
 	// ends.
 	Watch(ctx context.Context, prefix string, fromRev int64, f func([]KV) error) error
+	// Era returns how often the store was restored from an older copy, as far as its responses have shown; 0 before the
+	// first response that says so. What was written in an earlier era may be gone, and its revisions and leases may be
+	// given out again.
+	Era() uint64
 }
