Forget what is known of the store when it was restored from an older copy

Cause: revisions, the hash of the last summary and the lease were kept over a restore, although the store had lost them and gave the same revisions out again. Class of fault: a belief about another system that is compared with its answers without knowing that it was put back. Ruled out: an older configuration on a running daemon, since versions are the operator's numbers and only higher ones are taken (TestConfigurationReachesAllAndNeverReverts). Leaving it to 410: there is none once the revision has been given out again.

--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -103,11 +103,12 @@
 
 	leaseChecked atomic.Bool // set once Tick has looked for a lease for the first time
 
-	// mu guards lease, leaseEnd and lastSuccess. Only Tick changes lease, so it reads that field without mu. The other
+	// mu guards lease, leaseEnd, lastSuccess and cancelWatch. Only Tick changes lease, so it reads that field without mu. The other
 	// fields below are used by Tick only.
 	mu                 sync.Mutex
 	lease              store.LeaseID
 	leaseEnd           time.Time // by this daemon's clock; the store may keep the lease longer
+	cancelWatch        context.CancelCauseFunc
 	nextLeaseCheck     time.Time
 	lastRingPosition   int       // result of ringPosition when Tick last looked for a lease
 	lastSuccess        time.Time // of a call to the store
@@ -161,7 +162,7 @@
 // store, each with the store's timeout.
 func (r *Relay) Tick(ctx context.Context) {
 	now := r.now()
-	r.checkEra()
+	r.checkEra(now)
 	if !now.Before(r.nextLeaseCheck) {
 		r.tickLease(ctx, now)
 	}
@@ -180,15 +181,29 @@
 	r.exchangeTables(now)
 }
 
-// checkEra reports a restore of the store from an older copy.
-func (r *Relay) checkEra() {
+// checkEra reports a restore of the store from an older copy and makes the relay forget what it knows of the store from
+// before. It then takes a lease, writes and reads summaries and reads the configuration as if it had just started.
+func (r *Relay) checkEra(now time.Time) {
 	era := r.store.Era()
 	if r.era != 0 && era != r.era {
 		r.report(&StoreRestoredError{From: r.era, To: era})
+		r.forgetStore(now)
 	}
 	r.era = era
 }
 
+// forgetStore removes all that was read from the store or written to it. A lease may be gone or held by another daemon
+// under the same ID, and revisions may be given out again.
+func (r *Relay) forgetStore(now time.Time) {
+	r.setLease(0, time.Time{})
+	r.ownSummaryRevision, r.writtenHash = 0, 0
+	clear(r.ownZoneHashes)
+	clear(r.summaryRevisions)
+	r.nextLeaseCheck = now.Add(r.jitter(startJitter))
+	r.nextSummaryRead, r.nextSummaryWrite, r.nextConfigRead = now, now, now
+	r.endWatch()
+}
+
 // readConfig reads the configuration from the store if none is in effect, or if this daemon is one of the readers that
 // don't watch it.
 func (r *Relay) readConfig(ctx context.Context, now time.Time) {
@@ -218,21 +233,6 @@
 	}
 }
 
-// tickLease renews the lease that is held, or tries to acquire one if this daemon is a candidate.
-func (r *Relay) tickLease(ctx context.Context, now time.Time) {
-	if r.lease != 0 {
-		r.nextLeaseCheck = now.Add(renewInterval)
-		r.renewLease(ctx, now)
-		return
-	}
-	r.nextLeaseCheck = now.Add(acquireInterval/2 + r.jitter(acquireInterval))
-	defer r.leaseChecked.Store(true)
-	r.lastRingPosition = r.ringPosition()
-	if r.lastRingPosition < relayCandidates {
-		r.tryAcquireLease(ctx, now)
-	}
-}
-
 // ringPosition returns the number of alive members of the zone that precede this one in the order of the ring. The
 // members with the lowest positions are the candidates for the leases.
 func (r *Relay) ringPosition() int {
@@ -259,122 +259,6 @@
 	}
 }
 
-func (r *Relay) setLease(id store.LeaseID, end time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lease, r.leaseEnd = id, end
-}
-
-// renewLease renews the lease that is held, and gives it up if the store reports that it has expired.
-func (r *Relay) renewLease(ctx context.Context, now time.Time) {
-	err := r.store.KeepAlive(ctx, r.lease)
-	r.recordCall(now, "renew relay lease", err)
-	switch {
-	case err == nil:
-		r.setLease(r.lease, now.Add(leaseTTL))
-	case errors.Is(err, store.ErrLeaseLost):
-		r.setLease(0, time.Time{})
-		r.ownSummaryRevision, r.writtenHash = 0, 0
-	}
-}
-
-// tryAcquireLease acquires a free lease of the zone, if there is one, and adds the zone's relays as peers.
-func (r *Relay) tryAcquireLease(ctx context.Context, now time.Time) {
-	prefix := relaysPrefix + r.members.Self().Zone + "/"
-	kvs, err := r.store.ListStale(ctx, prefix)
-	r.recordCall(now, "list relay leases under "+prefix, err)
-	if err != nil {
-		return
-	}
-	r.addRelayPeers(now, kvs)
-	if _, _, free := r.freeLease(kvs); !free {
-		return
-	}
-	kvs, _, err = r.store.List(ctx, prefix) // the first list may be stale
-	r.recordCall(now, "list relay leases under "+prefix, err)
-	if err != nil {
-		return
-	}
-	r.addRelayPeers(now, kvs)
-	if leaseIndex, revision, free := r.freeLease(kvs); free {
-		r.acquireLease(ctx, now, leaseIndex, revision)
-	}
-}
-
-// freeLease returns the index of a lease that this daemon may take, and the revision of its key, 0 if the key doesn't
-// exist. It prefers a lease that an earlier daemon at this address still holds to one that nobody holds.
-func (r *Relay) freeLease(kvs []store.KV) (leaseIndex int, revision int64, free bool) {
-	self := r.members.Self()
-	held := make(map[string]store.KV, len(kvs))
-	for _, kv := range kvs {
-		held[kv.Key] = kv
-	}
-	for i := range relaysPerZone {
-		if kv := held[leaseKey(self.Zone, i)]; string(kv.Value) == self.Address {
-			return i, kv.Revision, true
-		}
-	}
-	for i := range relaysPerZone {
-		if held[leaseKey(self.Zone, i)].Revision == 0 {
-			return i, 0, true
-		}
-	}
-	return 0, 0, false
-}
-
-// leaseKey returns the store key of one of the leases of a zone.
-func leaseKey(zone string, leaseIndex int) string {
-	return fmt.Sprintf("%s%s/%d", relaysPrefix, zone, leaseIndex)
-}
-
-// addRelayPeers adds the addresses of the zone's relays to the bootstrap peers, so that a daemon that has just started
-// finds the other members. While no other member of the zone is known, it also starts an exchange with each relay.
-func (r *Relay) addRelayPeers(now time.Time, leases []store.KV) {
-	addresses := make([]string, 0, len(leases))
-	for _, kv := range leases {
-		addresses = append(addresses, string(kv.Value))
-	}
-	r.members.AddPeers(addresses)
-	if !r.aloneInZone() {
-		return
-	}
-	for _, a := range addresses {
-		r.members.SyncWith(now, a)
-	}
-}
-
-// aloneInZone reports whether no other alive member of the zone is known.
-func (r *Relay) aloneInZone() bool {
-	self := r.members.Self()
-	for _, m := range r.members.Members() {
-		if m.Zone == self.Zone && m.Address != self.Address && m.Alive() {
-			return false
-		}
-	}
-	return true
-}
-
-// acquireLease creates a lease and writes this daemon's address under the key of the zone's lease with an index. The
-// write succeeds only if the key still has the given revision.
-func (r *Relay) acquireLease(ctx context.Context, now time.Time, leaseIndex int, revision int64) {
-	self := r.members.Self()
-	id, err := r.store.Grant(ctx, leaseTTL)
-	r.recordCall(now, "grant relay lease", err)
-	if err != nil {
-		return
-	}
-	_, err = r.store.CompareAndSwap(ctx, leaseKey(self.Zone, leaseIndex), revision, []byte(self.Address), id)
-	r.recordCall(now, "write relay lease key "+leaseKey(self.Zone, leaseIndex), err)
-	if err == nil {
-		r.leaseIndex = leaseIndex
-		r.setLease(id, now.Add(leaseTTL))
-		r.nextLeaseCheck = now.Add(renewInterval)
-		return
-	}
-	// Usually another candidate has acquired the lease. The next list shows the remaining leases and its address.
-	r.nextLeaseCheck = now.Add(acquireRetryInterval/2 + r.jitter(acquireRetryInterval))
-}
-
 // exchangeTables starts an anti-entropy exchange with a member of another zone, at exchangeInterval while the platform
 // is available and at the shorter outageExchangeInterval while it is down. During an outage the relaysPerZone
 // candidates with the lowest ring positions do so without a lease.
@@ -396,22 +280,6 @@
 	}
 }
 
-// WatchConfig reads the configuration from the store, watches it and applies every change, until the context or the
-// watch ends. It returns the error that ended it.
-func (r *Relay) WatchConfig(ctx context.Context) error {
-	key := r.configs.Key()
-	kvs, rev, err := r.store.List(ctx, key)
-	r.recordCall(r.now(), "read the configuration", err)
-	if err != nil {
-		return err
-	}
-	r.applyConfig(kvs, false)
-	return r.store.Watch(ctx, key, rev+1, func(kvs []store.KV) error {
-		r.applyConfig(kvs, false)
-		return nil
-	})
-}
-
 // Run calls Tick every interval and watches the configuration while watchesConfig holds, until the context ends.
 func (r *Relay) Run(ctx context.Context, interval time.Duration) {
 	var watches sync.WaitGroup
@@ -429,39 +297,11 @@
 	}
 }
 
-// watchesConfig reports whether this daemon watches the configuration in the store: it is one of the configWatchers
-// members of its zone with the lowest ring positions. Its position counts only after it has looked for the zone's
-// relays, because until then it knows no member that precedes it.
-func (r *Relay) watchesConfig() bool {
-	return r.leaseChecked.Load() && r.ringPosition() < configWatchers
-}
-
 // ReadsConfig reports whether this daemon learns of a new configuration from the store: it watches or reads it.
 func (r *Relay) ReadsConfig() bool {
 	return r.leaseChecked.Load() && r.ringPosition() < configReaders
 }
 
-// watchWhile opens a watch again whenever one has ended, until the context ends. The condition is checked only before a
-// watch is opened; a watch continues when the condition no longer holds.
-func (r *Relay) watchWhile(ctx context.Context, condition func() bool, watch func(context.Context) error) {
-	for ctx.Err() == nil {
-		wait := watchRetryInterval
-		if condition() {
-			err := watch(ctx)
-			if ctx.Err() == nil {
-				r.report(fmt.Errorf("watch the configuration: %w", err))
-			}
-			if errors.Is(err, store.ErrCompacted) {
-				wait = compactedRetryInterval
-			}
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
-	}
-}
-
 // jitter returns a random duration in [0, d).
 func (r *Relay) jitter(d time.Duration) time.Duration {
 	return time.Duration(r.rng.Int64N(int64(d)))
