Leave upstreams with a rate limit after one of them refused a request

Cause: 99 entries share rates of 3 to 8 a second, so each calls an upstream too rarely to know that its rate is used up; a request went from one to the next and was given up after three. Three refusals show that the others are full too where slots are short, not where some state a limit. Ruled out: unused rates (mean use 0.98 of 32 backend servers before). Change: after such a refusal a request takes upstreams without a limit first, as far as the entry knows them, and is given up after five.

--- a/internal/core/routing/picker.go
+++ b/internal/core/routing/picker.go
@@ -63,6 +63,9 @@
 	Exclude []string
 	// Among holds the addresses of the only upstreams that may be chosen; empty means all.
 	Among []string
+	// AvoidRateLimited is set for a request that an upstream has refused because of the rate limit of its backend server.
+	// An upstream with such a limit is then chosen only if no other has room.
+	AvoidRateLimited bool
 }
 
 // DoneInfo describes how a call ended. Cutoff, Load and FailureRate come from the header of the answer, which the
@@ -79,6 +82,8 @@
 	Load float64
 	// FailureRate is the share of the upstream's recent requests that failed, from 0 to 1.
 	FailureRate float64
+	// RateLimited means that the backend server limits the rate of its requests.
+	RateLimited bool
 	// Failed means that the answer was a server error. Its latency says nothing about how long requests take.
 	Failed bool
 }
@@ -186,6 +191,7 @@
 	u.recordCutoff(now, info)
 	u.recordLoad(now, info)
 	u.recordFailureRate(now, info)
+	u.recordRateLimit(info)
 	if info.Outcome == call.OutcomeNotRun && info.Reason == call.ReasonLeaving {
 		u.leavingUntil = now.Add(leavingTTL)
 	}
@@ -221,12 +227,14 @@
 	return cs, anyUsable
 }
 
-// addChoice adds an upstream to the choices: by its score if it has room, otherwise by its expected wait. An outlier
-// that may not be probed is treated as full, and chosen after all others that are.
+// addChoice adds an upstream to the choices: by its score if it has room, otherwise by its expected wait. One that the
+// request avoids because of its rate limit is treated as full. So is an outlier that may not be probed, which is chosen
+// after all others that are.
 func (p *Picker) addChoice(cs *choices, now time.Time, u *upstream, info PickInfo) {
 	load := p.effectiveLoad(now, u)
 	outlier := p.outlier(now, u)
-	if load > spillThreshold(u.tier, info) || (outlier && !p.mayProbeOutlier(now, u, info)) {
+	avoided := info.AvoidRateLimited && u.rateLimited
+	if avoided || load > spillThreshold(u.tier, info) || (outlier && !p.mayProbeOutlier(now, u, info)) {
 		cs.addFallback(u, p.expectedWait(now, u, load), outlier)
 		return
 	}
--- a/internal/core/routing/upstream.go
+++ b/internal/core/routing/upstream.go
@@ -59,6 +59,8 @@
 	failureRate   float64 // share of its recent requests that failed, reported at failureRateAt
 	failureRateAt time.Time
 
+	rateLimited bool // its backend server limits the rate of its requests, by its last answer
+
 	leavingUntil time.Time // left out until then, because it answered "leaving"
 	health       health
 }
@@ -97,6 +99,14 @@
 	}
 }
 
+// recordRateLimit records whether the backend server limits the rate of its requests. A refusal that doesn't say so proves
+// nothing: the upstream's daemon may have just started.
+func (u *upstream) recordRateLimit(info DoneInfo) {
+	if info.RateLimited || info.Outcome == call.OutcomeAnswered {
+		u.rateLimited = info.RateLimited
+	}
+}
+
 // load estimates the share of the upstream's limit that is in use: the load that it last reported, which counts less
 // the older it is, plus the calls that this daemon has sent since. It is at least the share of this daemon's own calls.
 func (u *upstream) load(now time.Time) float64 {
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -91,6 +91,10 @@
 // refusal costs a round trip, and if three upstreams are full the others rarely have free slots.
 const maxRefusals = 3
 
+// maxRateLimitRefusals replaces maxRefusals after a refusal because of a rate limit. Unlike a full upstream, an upstream
+// whose backend server limits its rate says nothing about the room of the others.
+const maxRateLimitRefusals = 5
+
 // maxBackendRefusals is the number of attempts after which a request that backend servers refuse is given up. Where
 // they refuse half of what they get, one request in 256 is refused so often.
 const maxBackendRefusals = 8
@@ -102,7 +106,11 @@
 func (d *dispatcher) allowNextAttempt(ctx context.Context, req *request, op *outboundOperation, body *requestBody,
 	a attempt, n int) bool {
 	if req.routed && refusedByDaemon(a.result) {
-		return ctx.Err() == nil && n < maxRefusals && body.replayable()
+		limit := maxRefusals
+		if a.reason == call.ReasonRateLimit {
+			limit = maxRateLimitRefusals
+		}
+		return ctx.Err() == nil && n < limit && body.replayable()
 	}
 	if req.routed && a.outcome == call.OutcomeNotRun && a.reason == call.ReasonBackendRefused {
 		return d.allowRefusedAgain(ctx, req, op, body, n)
@@ -115,6 +123,7 @@
 func (d *dispatcher) pickNext(op *outboundOperation, req *request, body *requestBody, last *result,
 	tried []string) (routing.Candidate, error) {
 	info := d.pickInfo(req, body, tried)
+	info.AvoidRateLimited = last != nil && last.reason == call.ReasonRateLimit
 	refused := req.routed && last != nil && last.reason == call.ReasonBackendRefused
 	if !refused || len(tried) < req.maxUpstreams {
 		target, err := op.pick(d.now(), info)
@@ -323,7 +332,7 @@
 	h := &answer.Header
 	r := routing.DoneInfo{Latency: took, Outcome: h.Outcome, Reason: h.Reason, Cutoff: h.Cutoff,
 		Bytes: max(h.BodyLength, 0), Load: float64(h.Load) / 100, FailureRate: float64(h.FailureRate) / 100,
-		Failed: h.Status >= http.StatusInternalServerError}
+		RateLimited: h.Backend != nil && h.Backend.Limited, Failed: h.Status >= http.StatusInternalServerError}
 	if h.Outcome != call.OutcomeAnswered {
 		answer.Body.Close()
 		req.retryBudget.Return(min(h.UnusedRetries, granted))
