Report a change as unknown if the store was restored before its write

Operators saw (in the test): "accepted" for a change that replaced another operator's, whom nobody told. Cause: the compare-and-swap expects a revision; after a restore between the last read and the write that revision can belong to another change. Ruled out: comparing the change IDs once more before the write; the restore can come after that too. Test: TestWriteOverARevisionGivenOutAgainIsUnknown, seen failing (accepted).

--- a/internal/control/fake_test.go
+++ b/internal/control/fake_test.go
@@ -33,6 +33,7 @@
 	faulty  bool
 	before  func() // runs before each call; simulates events on other processes
 	rev     int64
+	era     uint64 // number of restores
 	items   map[string]store.KV
 	history []store.KV      // every write, oldest first
 	pending []func()        // writes that reach the store after their caller's timeout
@@ -105,6 +106,7 @@
 // them.
 func (s *fakeStore) restore(rev int64) {
 	s.pending = nil
+	s.era++
 	s.rev = rev
 	s.items = make(map[string]store.KV)
 	kept := s.history[:0:0]
@@ -132,7 +134,7 @@
 	return store.ErrUnavailable
 }
 
-func (s *fakeStore) Era() uint64                                                 { return 0 }
+func (s *fakeStore) Era() uint64                                                 { return s.era }
 func (s *fakeStore) List(context.Context, string) ([]store.KV, int64, error)     { panic("unused") }
 func (s *fakeStore) ListStale(context.Context, string) ([]store.KV, error)       { panic("unused") }
 func (s *fakeStore) Delete(context.Context, string) error                        { panic("unused") }
--- a/internal/control/publisher.go
+++ b/internal/control/publisher.go
@@ -163,6 +163,7 @@
 	if !base.matches(fresh) {
 		return c.lostRace(fresh.Version, fresh.Document), nil
 	}
+	c.era = p.Store.Era()
 	return c.run(ctx), nil
 }
 
@@ -186,6 +187,7 @@
 	doc            *config.Document
 	data           []byte         // doc, encoded
 	revision       int64          // expected by the compare-and-swap
+	era            uint64         // of the store when that revision was read
 	writtenVersion config.Version // of this change in the store or on daemons; zero until it is known to be written
 	outcomeUnknown bool           // an attempt had an unknown outcome
 	lastErr        error          // of the last attempt that failed
@@ -232,6 +234,9 @@
 func (c *change) attempt(ctx context.Context) (Result, bool) {
 	rev, err := c.p.Store.CompareAndSwap(ctx, ConfigKey, c.revision, c.data, 0)
 	switch {
+	case err == nil && c.p.Store.Era() != c.era:
+		// The expected revision may have been given out again, for another operator's change that is replaced now.
+		return c.unknown(ErrRestored), true
 	case err == nil:
 		c.writtenVersion = config.Version{Epoch: c.doc.Epoch, Revision: uint64(rev)}
 		return c.confirm(ctx)
--- a/internal/control/restore_test.go
+++ b/internal/control/restore_test.go
@@ -67,3 +67,41 @@
 		})
 	}
 }
+
+// Guards against the result Accepted for a change that replaced one of another operator, whom nobody told: a restore
+// between the last read and the write gave the expected revision out again.
+func TestWriteOverARevisionGivenOutAgainIsUnknown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newFakeStore(t)
+		own := &Publisher{Store: s, NewID: counterIDs("own")}
+		other := &Publisher{Store: s, NewID: counterIDs("other")}
+		publish := func(p *Publisher) Result {
+			base, err := p.Current(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			r, err := p.Publish(context.Background(), base, testDocument(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return r
+		}
+		publish(own)
+		calls := 0
+		s.before = func() {
+			if calls++; calls != 3 { // the third call is the write, after two reads
+				return
+			}
+			s.before = func() {}
+			before := s.rev
+			s.restore(before - 1)
+			publish(other)
+			if s.rev != before {
+				t.Fatalf("revision %d after the restore, want %d again", s.rev, before)
+			}
+		}
+		if r := publish(own); r.Kind != Unknown || !errors.Is(r.Err, ErrRestored) {
+			t.Fatalf("result %v (%v) for a change that replaced another one, want unknown", r.Kind, r.Err)
+		}
+	})
+}
