Shorten comments and move the demand below the rate limiter

Cause: reading the change as a newcomer. Change: comments wrapped and completed, one type moved. No behaviour changes.

--- a/internal/core/admission/controller.go
+++ b/internal/core/admission/controller.go
@@ -224,7 +224,8 @@
 }
 
 // dispatch starts waiting requests in descending order of rank while there are slots and the rate limit allows it. It
-// stops at the first request that can't start, because no request behind it has a higher rank. Requests that would miss their deadline are refused.
+// stops at the first request that can't start, because no request behind it has a higher rank. Requests that would miss
+// their deadline are refused.
 func (c *Controller) dispatch(now time.Time, decisions []Decision) []Decision {
 	for c.queue.len() > 0 && c.mayStart(now, c.queue.at(0).Rank) {
 		item := c.queue.remove(0)
--- a/internal/core/admission/ratelimit.go
+++ b/internal/core/admission/ratelimit.go
@@ -32,30 +32,6 @@
 	demand demand
 }
 
-// demandTime is the time constant of the average of the demand. It covers several round trips between regions, after
-// which the callers have adapted to the load that they were told.
-const demandTime = time.Second
-
-// demand is an exponentially weighted average of the requests offered per second.
-type demand struct {
-	perSecond float64
-	at        time.Time
-}
-
-// advance lets the average decay until now.
-func (d *demand) advance(now time.Time) {
-	if now.After(d.at) {
-		d.perSecond *= math.Exp(-now.Sub(d.at).Seconds() / demandTime.Seconds())
-		d.at = now
-	}
-}
-
-// record counts an offered request.
-func (d *demand) record(now time.Time) {
-	d.advance(now)
-	d.perSecond += 1 / demandTime.Seconds()
-}
-
 // set changes the limit. The bucket of a new limit is empty: before, requests started without counting.
 func (l *rateLimiter) set(now time.Time, limit call.RateLimit) {
 	if limit == l.limit {
@@ -117,3 +93,27 @@
 	}
 	return int(float64(l.bucket.Limit())*delay.Seconds()) + 1
 }
+
+// demandTime is the time constant of the average of the demand. It covers several round trips between regions, after
+// which the callers have adapted to the load that they were told.
+const demandTime = time.Second
+
+// demand is an exponentially weighted average of the requests offered per second.
+type demand struct {
+	perSecond float64
+	at        time.Time
+}
+
+// advance lets the average decay until now.
+func (d *demand) advance(now time.Time) {
+	if now.After(d.at) {
+		d.perSecond *= math.Exp(-now.Sub(d.at).Seconds() / demandTime.Seconds())
+		d.at = now
+	}
+}
+
+// record counts an offered request.
+func (d *demand) record(now time.Time) {
+	d.advance(now)
+	d.perSecond += 1 / demandTime.Seconds()
+}
--- a/internal/core/admission/ratelimit_test.go
+++ b/internal/core/admission/ratelimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -47,7 +48,7 @@
 				if at >= l.offset {
 					l.classes[class].offered++
 				}
-				decisions = append(decisions, c.Offer(now, Request{ID: id, Rank: call.NewRank(call.Class(class), string(rune(id)))})...)
+				decisions = append(decisions, c.Offer(now, Request{ID: id, Rank: call.NewRank(call.Class(class), strconv.FormatUint(id, 10))})...)
 			}
 		}
 		for _, d := range decisions {
--- a/internal/core/announce/tracker.go
+++ b/internal/core/announce/tracker.go
@@ -225,9 +225,9 @@
 }
 
 // Response records the report of a response that arrived at now, to a request that was sent at sentAt. A backend server
-// that leaves takes no more work, as after a heartbeat that says so. A rate limit holds until a response without one arrives, but not one to a request that was sent before the limit was last stated:
-// responses on several connections overtake each other. Responses to requests that were sent to an earlier start have
-// no effect.
+// that leaves takes no more work, as after a heartbeat that says so. A rate limit holds until a response without one
+// arrives, but not one to a request that was sent before the limit was last stated: responses on several connections
+// overtake each other. Responses to requests that were sent to an earlier start have no effect.
 func (t *Tracker) Response(now, sentAt time.Time, r Report) {
 	if sentAt.Before(t.knownSince) {
 		return
