--- a/internal/daemon/ratelimit_test.go
+++ b/internal/daemon/ratelimit_test.go
@@ -1,12 +1,20 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/core/retry"
+	"guavapoint.example/guavapoint/internal/transport"
+	"guavapoint.example/guavapoint/internal/wire"
 )
 
 // allowedWithin returns the number of requests that a backend server with a limit per second may get from daemons that
@@ -123,3 +131,36 @@
 		t.Errorf("the backend server got %d requests, want at most %d", got, allowed)
 	}
 }
+
+// resolvingPeer loses the answer to each call and delivers it when it is asked for the outcome.
+type resolvingPeer struct {
+	losingPeer
+	report *wire.BackendReport
+}
+
+func (p *resolvingPeer) Call(_ context.Context, address string, _ *wire.CallHeader, _ io.Reader) (*transport.Answer, error) {
+	return nil, &transport.LostError{Address: address, Err: io.ErrUnexpectedEOF}
+}
+
+func (p *resolvingPeer) Request(context.Context, string, *wire.Control) (*wire.Control, error) {
+	return &wire.Control{ResolveAnswer: &wire.ResolveAnswer{Outcome: call.OutcomeAnswered, Status: http.StatusOK, Backend: p.report}}, nil
+}
+
+// Guards against an entry that passes on a response with a rate limit and doesn't know the limit: the answer was lost on
+// the way, and the entry got it by asking for the outcome.
+func TestResolvedAnswerTellsTheRateLimit(t *testing.T) {
+	report := &wire.BackendReport{Instance: "i-1", Limited: true, RateLimit: 7}
+	d := newTestDispatcher(t, &resolvingPeer{report: report}, "a")
+	req := &request{service: "deep", rank: call.LowestRank(call.ClassNormal), deadline: time.Now().Add(waitTimeout),
+		retryBudget: retry.NewBudget(1), routed: true, maxUpstreams: 2}
+	body, err := newRequestBody(strings.NewReader(""), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if res := d.callNonIdempotent(t.Context(), req, nil, body); res.outcome != call.OutcomeAnswered {
+		t.Fatalf("outcome %v, want answered", res.outcome)
+	}
+	if got := d.backends.get("a"); got != report {
+		t.Errorf("the entry knows %+v of the backend server, want %+v", got, report)
+	}
+}
