Share the set-up and loops that stood twice in tests

Change: one cluster for backend servers that state something in their responses, one check for small calls beside uploads, one loop for limits that hold. Assertions, bounds, seeds and draws are unchanged.

--- a/internal/core/admission/limiter_test.go
+++ b/internal/core/admission/limiter_test.go
@@ -78,6 +78,17 @@
 	}
 }
 
+// holdLimit runs steps of 100 ms under the given load and fails the test if the limit is below the slots after one.
+func (b *fakeBackend) holdLimit(t *testing.T, steps int, load float64, slots int) {
+	t.Helper()
+	for range steps {
+		b.run(100*time.Millisecond, load)
+		if limit := b.c.Load().Limit; limit < slots {
+			t.Fatalf("limit %d of %d slots", limit, slots)
+		}
+	}
+}
+
 func constant(d time.Duration) func(int) time.Duration {
 	return func(int) time.Duration { return d }
 }
@@ -94,12 +105,7 @@
 	b := newBackend(1, constant(10*time.Millisecond))
 	b.run(5*time.Second, 6)
 	b.childWait = 500 * time.Millisecond
-	for range 100 {
-		b.run(100*time.Millisecond, 6)
-		if limit := b.c.Load().Limit; limit < testSlots {
-			t.Fatalf("limit %d of %d slots", limit, testSlots)
-		}
-	}
+	b.holdLimit(t, 100, 6, testSlots)
 }
 
 // Guards against a limit that stays low when the service itself has become slower at any concurrency.
@@ -119,24 +125,14 @@
 	b := newBackend(1, constant(10*time.Millisecond))
 	b.run(5*time.Second, 0.02)
 	b.selfTime = constant(50 * time.Millisecond)
-	for range 100 {
-		b.run(100*time.Millisecond, 0.02)
-		if limit := b.c.Load().Limit; limit < testSlots {
-			t.Fatalf("limit %d of %d slots", limit, testSlots)
-		}
-	}
+	b.holdLimit(t, 100, 0.02, testSlots)
 }
 
 // Guards against a limit that falls, even briefly, while a quarter of the slots are in use and self times are constant:
 // a request that starts at once must not count as one that had to wait.
 func TestLimitHoldsBelowDemand(t *testing.T) {
 	b := newBackend(1, constant(50*time.Millisecond))
-	for range 300 {
-		b.run(100*time.Millisecond, 0.2)
-		if limit := b.c.Load().Limit; limit < testSlots {
-			t.Fatalf("limit %d of %d slots", limit, testSlots)
-		}
-	}
+	b.holdLimit(t, 300, 0.2, testSlots)
 }
 
 // Guards against a trial that halves the limit of a backend server with two slots: important requests were refused
@@ -144,12 +140,7 @@
 func TestLimitHoldsWithTwoSlots(t *testing.T) {
 	b := newBackend(1, constant(10*time.Millisecond))
 	b.c = New(Config{Slots: 2})
-	for range 100 {
-		b.run(100*time.Millisecond, 0.3)
-		if limit := b.c.Load().Limit; limit < 2 {
-			t.Fatalf("limit %d of 2 slots", limit)
-		}
-	}
+	b.holdLimit(t, 100, 0.3, 2)
 }
 
 // Guards against a limit that is reduced because one window was faster by chance. Self times are exponentially
--- a/internal/core/routing/link_test.go
+++ b/internal/core/routing/link_test.go
@@ -94,19 +94,19 @@
 	})
 }
 
-// Guards against uploads that use up the budget of small calls: all small calls that stay within the rest of the budget
-// are sent, even though an upload of a higher class is tried before each of them.
-func TestUploadsDontStarveSmallCalls(t *testing.T) {
+// checkSmallCalls checks that small calls of the given class or above are all sent if they take no more than a share of
+// the budget, although an upload of the given rank is tried before each of them.
+func checkSmallCalls(t *testing.T, share float64, upload call.Rank, lowest call.Class) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := NewLink(LinkConfig{BytesPerSecond: testRate, UploadShare: 0.5})
 		size := rapid.Int64Range(1000, 500_000).Draw(t, "size")
 		small := rapid.Int64Range(1, 2000).Draw(t, "small")
-		class := call.Class(rapid.IntRange(0, 3).Draw(t, "class"))
-		gap := time.Duration(float64(small) / (testRate / 2) * 1.05 * float64(time.Second))
+		class := call.Class(rapid.IntRange(int(lowest), 3).Draw(t, "class"))
+		gap := time.Duration(float64(small) / (testRate * share) * 1.05 * float64(time.Second))
 		now := epoch
 		for range 500 {
 			now = now.Add(gap)
-			if l.tryCharge(now, PickInfo{Bytes: size, Upload: true, Rank: call.MaxRank}) {
+			if l.tryCharge(now, PickInfo{Bytes: size, Upload: true, Rank: upload}) {
 				l.settle(now, 0)
 			}
 			if !l.tryCharge(now, PickInfo{Bytes: small, Rank: call.LowestRank(class)}) {
@@ -117,27 +117,16 @@
 	})
 }
 
+// Guards against uploads that use up the budget of small calls: all small calls that stay within the rest of the budget
+// are sent, even though an upload of a higher class is tried before each of them.
+func TestUploadsDontStarveSmallCalls(t *testing.T) {
+	checkSmallCalls(t, 0.5, call.MaxRank, call.ClassLow)
+}
+
 // Guards against an upload that, once sent, takes budget from small calls of a higher class: all of these calls that
 // fit into the whole budget are sent.
 func TestUploadLeavesBudgetToHigherClasses(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		l := NewLink(LinkConfig{BytesPerSecond: testRate, UploadShare: 0.5})
-		size := rapid.Int64Range(1000, 500_000).Draw(t, "size")
-		small := rapid.Int64Range(1, 2000).Draw(t, "small")
-		class := call.Class(rapid.IntRange(1, 3).Draw(t, "class"))
-		gap := time.Duration(float64(small) / testRate * 1.05 * float64(time.Second))
-		now := epoch
-		for range 500 {
-			now = now.Add(gap)
-			if l.tryCharge(now, PickInfo{Bytes: size, Upload: true}) {
-				l.settle(now, 0)
-			}
-			if !l.tryCharge(now, PickInfo{Bytes: small, Rank: call.LowestRank(class)}) {
-				t.Fatalf("small call refused after %v", now.Sub(epoch))
-			}
-			l.settle(now, 0)
-		}
-	})
+	checkSmallCalls(t, 1, 0, call.ClassNormal)
 }
 
 // Guards against a budget that allows a less important call while it refuses a more important one of the same size.
--- a/internal/daemon/ingress_test.go
+++ b/internal/daemon/ingress_test.go
@@ -272,15 +272,7 @@
 func TestLeavingBackendGetsNoWork(t *testing.T) {
 	for _, method := range []string{http.MethodPut, http.MethodDelete} {
 		t.Run(method, func(t *testing.T) {
-			s := newTestCluster(t)
-			s.withOperatorConfig()
-			b := newAnnouncedBackend(t, "i-1")
-			n := s.addAnnounced("lookup", b)
-			waitUntil(t, "the daemon is ready", n.isReady)
-			n.heartbeat(t, "i-1", 1, "ready")
-			waitUntil(t, "the daemon serves", func() bool {
-				return n.request(t, http.MethodGet, "/read/x").status == http.StatusOK
-			})
+			n, b := servingLookup(t)
 			if method == http.MethodPut {
 				n.heartbeat(t, "i-1", 2, "draining")
 			} else {
--- a/internal/daemon/ratelimit_test.go
+++ b/internal/daemon/ratelimit_test.go
@@ -23,9 +23,9 @@
 	return int64(1.5*perSecond*max(elapsed, 4*time.Second).Seconds()) + 5
 }
 
-// limitedCluster is a backend server of the service lookup that states a rate limit, and three daemons that have passed
-// on its responses: the one beside it and two of another service.
-type limitedCluster struct {
+// reportingCluster is a backend server of the service lookup that states something about itself in its responses, the
+// daemon beside it, and entries of another service.
+type reportingCluster struct {
 	*testCluster
 	backend *announcedBackend
 	beside  *testDaemon
@@ -34,29 +34,38 @@
 	release chan struct{} // closed by the test
 }
 
-func newLimitedCluster(t *testing.T, limit string) *limitedCluster {
+// newReportingCluster starts the daemons and announces their backend servers. state sets the header of each response.
+func newReportingCluster(t *testing.T, entries int, state func(http.Header)) *reportingCluster {
+	t.Helper()
 	s := newTestCluster(t)
 	s.withOperatorConfig()
-	b := newAnnouncedBackend(t, "i-1")
-	c := &limitedCluster{testCluster: s, backend: b, release: make(chan struct{})}
-	b.answer = func(w http.ResponseWriter, _ *http.Request) bool {
+	c := &reportingCluster{testCluster: s, backend: newAnnouncedBackend(t, "i-0"), release: make(chan struct{})}
+	c.backend.answer = func(w http.ResponseWriter, _ *http.Request) bool {
 		if c.held.Load() {
 			<-c.release
 		}
-		w.Header().Set("Server-Limit", limit)
+		state(w.Header())
 		return false
 	}
-	c.beside = s.startReady(t, b)
-	c.announceSlots(t, 2)
-	c.entries = []*testDaemon{c.beside}
-	for _, id := range []string{"i-2", "i-3"} {
-		c.entries = append(c.entries, s.addAnnounced("ledger", newAnnouncedBackend(t, id)))
-	}
-	for i, n := range c.entries[1:] {
+	c.beside = s.startReady(t, c.backend)
+	for i := range entries {
+		id := fmt.Sprintf("i-%d", i+1)
+		n := s.addAnnounced("ledger", newAnnouncedBackend(t, id))
 		waitUntil(t, "the entry is ready", n.isReady)
-		n.heartbeat(t, []string{"i-2", "i-3"}[i], 1, "ready")
+		n.heartbeat(t, id, 1, "ready")
+		c.entries = append(c.entries, n)
 	}
 	s.ready()
+	return c
+}
+
+// newLimitedCluster returns a cluster whose backend server states a rate limit of 1 per second, and whose entries, the
+// daemon beside it included, have passed that on.
+func newLimitedCluster(t *testing.T) *reportingCluster {
+	t.Helper()
+	c := newReportingCluster(t, 2, func(h http.Header) { h.Set("Server-Limit", "1") })
+	c.announceSlots(t, 2)
+	c.entries = append([]*testDaemon{c.beside}, c.entries...)
 	for _, n := range c.entries {
 		waitUntil(t, "the entry has passed on a response with the limit", func() bool {
 			return n.request(t, http.MethodGet, "/read/x").header.Get("Server-Limit") != ""
@@ -66,16 +75,16 @@
 }
 
 // announceSlots sends a heartbeat that states more slots than a test uses, so that only the rate limits its requests.
-func (c *limitedCluster) announceSlots(t *testing.T, seq int) {
+func (c *reportingCluster) announceSlots(t *testing.T, seq int) {
 	t.Helper()
 	body := fmt.Sprintf(`{"service":"lookup","address":"x","zone":"z","slots":200,"state":"ready","coldRemaining":"0ms","seq":%d,"born":5}`, seq)
-	if status := c.beside.sendAnnouncement(t, http.MethodPut, "i-1", body); status != http.StatusOK {
+	if status := c.beside.sendAnnouncement(t, http.MethodPut, "i-0", body); status != http.StatusOK {
 		t.Fatalf("heartbeat: %d", status)
 	}
 }
 
 // sendAtOnce sends requests through all entries at the same time. refused counts the responses 503 as they arrive.
-func (c *limitedCluster) sendAtOnce(t *testing.T, perEntry int, refused *atomic.Int64) *sync.WaitGroup {
+func (c *reportingCluster) sendAtOnce(t *testing.T, perEntry int, refused *atomic.Int64) *sync.WaitGroup {
 	var sent sync.WaitGroup
 	for _, n := range c.entries {
 		for i := range perEntry {
@@ -97,7 +106,7 @@
 // Guards against more requests to a backend server than the rate that it states: no daemon read the header, and a limit
 // that each daemon applies for itself adds up to several times the rate.
 func TestStatedRateLimitHoldsForAllEntries(t *testing.T) {
-	c := newLimitedCluster(t, "1")
+	c := newLimitedCluster(t)
 	started, before := time.Now(), c.backend.runs.Load()
 	var refused atomic.Int64
 	c.sendAtOnce(t, 40, &refused).Wait()
@@ -111,7 +120,7 @@
 // Guards against a surge after a restart of the daemon beside a backend server: it has forgotten the rate that the
 // backend server stated and learns it again only from the first response.
 func TestStatedRateLimitSurvivesARestart(t *testing.T) {
-	c := newLimitedCluster(t, "1")
+	c := newLimitedCluster(t)
 	c.held.Store(true)
 	c.restart(c.beside)
 	waitUntil(t, "the daemon is ready", c.beside.isReady)
