--- a/internal/daemon/ratelimit_test.go
+++ b/internal/daemon/ratelimit_test.go
@@ -143,7 +143,6 @@
 
 // resolvingPeer loses the answer to each call and delivers it when it is asked for the outcome.
 type resolvingPeer struct {
-	losingPeer
 	report *wire.BackendReport
 }
 
