--- a/review/standin/deploy/deploy.go
+++ b/review/standin/deploy/deploy.go
@@ -3,6 +3,7 @@
 package deploy
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -107,6 +108,39 @@
 	})
 }
 
+// PutConfig writes a version of the operator's configuration. The store's response is the acknowledgement.
+func (d *Deployment) PutConfig(config []byte) error {
+	resp, err := http.Get(d.StoreURL + "/kv-key?key=op/config")
+	if err != nil {
+		return err
+	}
+	var item struct {
+		Revision int64 `json:"revision"`
+	}
+	err = json.NewDecoder(resp.Body).Decode(&item)
+	resp.Body.Close()
+	if err != nil {
+		return err
+	}
+	txn, err := json.Marshal(map[string]any{
+		"expected": []any{map[string]any{"key": "op/config", "revision": item.Revision}},
+		"writes":   []any{map[string]any{"key": "op/config", "value": config, "lease": 0}},
+		"remove":   []string{},
+	})
+	if err != nil {
+		return err
+	}
+	resp, err = http.Post(d.StoreURL+"/kv-txn", "application/json", bytes.NewReader(txn))
+	if err != nil {
+		return err
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("the store answered %d", resp.StatusCode)
+	}
+	return nil
+}
+
 // AddVM reserves the addresses of a VM and writes the settings of its daemon.
 func (d *Deployment) AddVM(name, service, zone, region string) (*VM, error) {
 	v := &VM{Name: name, Service: service, Zone: zone, d: d}
--- a/review/standin/deploy/upstream.go
+++ b/review/standin/deploy/upstream.go
@@ -65,6 +65,15 @@
 	u.record.Printf("upstream %s starts as %s", u.VM.Name, u.instance)
 }
 
+// RestartSameID starts a new instance under the id of the last one. Its count of heartbeats starts anew.
+func (u *Upstream) RestartSameID() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.born = time.Now().UnixMilli()
+	u.seq, u.leaving, u.silent, u.falsely = 0, false, false, false
+	u.record.Printf("upstream %s starts again as %s", u.VM.Name, u.instance)
+}
+
 // Instance returns the id of the present instance.
 func (u *Upstream) Instance() string {
 	u.mu.Lock()
