--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -67,7 +67,7 @@
 		client: &http.Client{Timeout: time.Second}, instance: fmt.Sprintf("i-%08x", rand.Uint32()), born: time.Now().UnixMilli(), state: "ready",
 		conns: map[net.Conn]struct{}{}, closed: make(chan struct{})}
 	m.Server = s
-	go s.accept()
+	go s.accept(l)
 	go s.beat()
 	return s, nil
 }
@@ -127,9 +127,9 @@
 	return append([]Run(nil), s.runs...)
 }
 
-func (s *Server) accept() {
+func (s *Server) accept(l net.Listener) {
 	for {
-		c, err := s.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
@@ -214,3 +214,27 @@
 func (e *Exchange) signature() map[string]string {
 	return map[string]string{"X-Response-Signature": "3e1b." + e.Run.Instance + "." + e.Run.ID}
 }
+
+// crash ends the server as a process that dies: it accepts no connections and all connections are gone. It starts again,
+// as another instance, after a time.
+func (s *Server) crash(down time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener.Close()
+	for c := range s.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	s.silent = true
+	time.AfterFunc(down, func() {
+		l, err := net.Listen("tcp", s.machine.App())
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.listener, s.instance, s.born, s.seq, s.silent = l, fmt.Sprintf("i-%08x", rand.Uint32()), time.Now().UnixMilli(), 0, false
+		s.mu.Unlock()
+		go s.accept(l)
+		s.Announce()
+	})
+}
