Add review case 9: a broken-off answer closes the link between regions

Cause: the entry charges the length that an answer states to its budget of the link between regions, also where the answer breaks off. Change: review/9 (claim and script); the case of X-Caller-Service, a lesser one, becomes review/10. No code of the project is changed.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -7,4 +7,4 @@
   echo "build first: the build line of deploy/system.toml, then review/build-2.sh" >&2
   exit 2
 fi
-exec target/review-2/standin-2 -binary target/guavapoint -record review/9/record.txt -trouble=$trouble caller
+exec target/review-2/standin-2 -binary target/guavapoint -record review/9/record.txt -trouble=$trouble link
