--- a/review/standin-2/case_endless.go
+++ b/review/standin-2/case_endless.go
@@ -16,6 +16,7 @@
 // endlessAnswers sends changes to a service one of whose backend servers is in trouble: it begins a response and then
 // sends bytes without end, until the caller closes. It checks that the memory of no daemon exceeds its limit.
 func endlessAnswers(o options) (bool, error) {
+	memoryMB = memoryLimitMB
 	places := []Placement{{"holdership", "kin-a", "kingston"}, {"holdership", "kin-b", "kingston"}, {"holdership", "mbj-a", "montego"}, {"holdership", "mbj-b", "montego"}, {"lookup", "kin-a", "kingston"}, {"lookup", "mbj-a", "montego"}}
 	f, err := NewFleet(o.binary, o.dir, o.record, places, operatorConfig("r7", "1500ms", "lookup", "holdership"))
 	if err != nil {
--- a/review/standin-2/case_poison.go
+++ b/review/standin-2/case_poison.go
@@ -55,7 +55,7 @@
 	var wg sync.WaitGroup
 	var accepted, lost atomic.Int64
 	origin := f.Machines[2] // of the clients; its daemon runs throughout
-	wg.Go(func() { sendOrdinary(origin, stop, &accepted, &lost) })
+	wg.Go(func() { sendOrdinary(o, origin, stop, &accepted, &lost) })
 	time.Sleep(contact)
 	for round := 0; round < 5; round++ {
 		if round > 0 && o.trouble {
@@ -103,7 +103,7 @@
 }
 
 // sendOrdinary sends changes to the same service and counts those that end without a known outcome.
-func sendOrdinary(origin *Machine, stop <-chan struct{}, sent, lost *atomic.Int64) {
+func sendOrdinary(o options, origin *Machine, stop <-chan struct{}, sent, lost *atomic.Int64) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for i := 0; ; i++ {
@@ -115,6 +115,7 @@
 		wg.Go(func() {
 			c := Call{Machine: origin, Method: http.MethodPost, Host: "site.example", Target: fmt.Sprintf("/lookup/change/t%d", i), Timeout: 5 * time.Second, ID: newID(), Body: []byte("transfer")}
 			a := c.Send(1 << 10)
+			o.record.Printf("client on %s sends POST %s id %s: status %d, error %v", origin.Name, c.Target, c.ID, a.Status, a.Err)
 			sent.Add(1)
 			if a.Status != 200 && a.Status != 503 {
 				lost.Add(1)
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -17,6 +17,9 @@
 	"time"
 )
 
+// memoryMB is limits.memoryMb in the settings, that of the small sites unless a case names another.
+var memoryMB = 284
+
 // Ports are the ports that all machines of a run share, as on the platform.
 type Ports struct {
 	outbound, inbound, readiness, admin, internal, internal2, app, store int
@@ -121,7 +124,7 @@
 		"platform":   map[string]any{"urls": []string{"http://" + store}},
 		"bounds":     map[string]any{"retry_ratio": 0.2, "retry_slack": 48, "retry_window": "10s"},
 		"kill_after": "6s",
-		"memory_mb":  memoryLimitMB,
+		"memory_mb":  memoryMB,
 	}
 	data, err := json.MarshalIndent(s, "", " ")
 	if err != nil {
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -171,6 +171,7 @@
 		hash := sha256.Sum256(body)
 		e.Run = &Run{Server: s.machine.Name, Instance: id, Service: s.machine.Service, ID: req.Header.Get("X-Request-Id"), Method: req.Method,
 			Target: req.RequestURI, Host: req.Host, Caller: req.Header.Get("X-Caller-Service"), BodyHash: hex.EncodeToString(hash[:8]), BodyLength: len(body), At: time.Now()}
+		s.record.Printf("server %s on %s (%s) runs %s %s id %s, X-Caller-Service %q", id, s.machine.Name, s.machine.Service, req.Method, req.RequestURI, e.Run.ID, e.Run.Caller)
 		s.Handle(e)
 		s.mu.Lock()
 		s.runs = append(s.runs, *e.Run)
