Keep what clients make a daemon hold within one budget

Cause: heads, connections and bytes unread in sockets were in no bound; bodies and answers had one of their own. 1,000 heads of 47 KiB took 85 MiB, 200 of short fields 132 MiB (600 KB each), and 114 MiB waited in the sockets of 400 unfinished uploads.

Ruled out: that bodies in flight exceed their bound (they keep it); empty lines without end, chunks of one byte and idle connections (below the limit at these sizes).

Change: internal/core/holdings decides, without I/O, what may be held: one budget from memory_mb and max_files (new, default the system's limit) for connections, heads by bytes and fields, requests, bodies and answers, and the order in which connections make room. internal/intake charges it below net/http and ends connections; receive buffers have fixed sizes that it counts. The listeners for control have a share of their own. A client refused early can read the refusal. The semaphore of heldBytes goes; its tests hold on the new budget (the bound and "nothing stays counted" as before).

Evidence: TestCrowds on, with at least 40 samples while the crowd is there (new, since the crowd can be gone within one sampling interval otherwise): 8 of 12 crowds failed, at up to 166 MiB of 64. TestRefusalReachesClientThatReadsLater fails if the connection is closed at once.

--- a/internal/cli/reasons.go
+++ b/internal/cli/reasons.go
@@ -34,7 +34,7 @@
 			"The caller can resend after a wait; with the same Guavapoint-Request-Id, the request keeps its rank.",
 	},
 	call.ReasonMemory: {
-		"The bodies and answers of the requests in flight at a daemon hold as many bytes as its memory allows.",
+		"What clients make a daemon hold (connections, requests and answers in flight) takes as many bytes as its memory allows.",
 		ranNoUnlessEarlier, "Look for a backend server or a caller that sends much or slowly. Raise memory_mb only if the VM has the memory. The caller can resend after a wait.",
 	},
 	call.ReasonLeaving: {
@@ -155,6 +155,7 @@
 	4011: "see the fields outcome and reason",
 	4013: ranNo,
 	4014: ranNo,
+	4021: "no, unless the stage is writing: then it ran, and its caller read nothing of the answer",
 	5001: "maybe: the requests in flight started",
 	5003: "maybe: they were in flight at the crash",
 	5004: "maybe: it was running at the crash; later ones don't run",
--- a/internal/daemon/body.go
+++ b/internal/daemon/body.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"guavapoint.example/guavapoint/internal/core/quarantine"
+	"guavapoint.example/guavapoint/internal/intake"
 )
 
 // replayLimit is the size in bytes below which a request body is kept in memory, so that a retry can send it again.
@@ -16,18 +17,18 @@
 
 // requestBody is the body of a request. It can be sent more than once if it is shorter than replayLimit.
 type requestBody struct {
-	prefix   []byte    // the first bytes, at most replayLimit
-	rest     io.Reader // the bytes after the prefix; nil if the prefix is the whole body
-	restUsed bool      // reader has returned rest, which can be read only once
-	length   int64     // declared length in bytes, or -1
-	holding  *holding  // of the prefix
+	prefix   []byte          // the first bytes, at most replayLimit
+	rest     io.Reader       // the bytes after the prefix; nil if the prefix is the whole body
+	restUsed bool            // reader has returned rest, which can be read only once
+	length   int64           // declared length in bytes, or -1
+	holding  *intake.Holding // of the prefix
 }
 
 // newRequestBody reads up to replayLimit bytes of a body. length is the declared length in bytes, or -1. It returns the
 // reader's error, errShortBody if the body ends before its declared length, or errNoMemory if the holding doesn't allow even
 // the part of the body that belongs to its fingerprint. If it doesn't allow more than that, the rest is streamed. The caller
 // releases the body; after an error nothing is held.
-func newRequestBody(r io.Reader, length int64, h *holding) (*requestBody, error) {
+func newRequestBody(r io.Reader, length int64, h *intake.Holding) (*requestBody, error) {
 	prefix, err := readHeld(r, replayLimit, h)
 	b := &requestBody{prefix: prefix, length: length, holding: h}
 	switch {
@@ -47,7 +48,7 @@
 // release returns the memory of the prefix. The body isn't sent again. A nil body holds none.
 func (b *requestBody) release() {
 	if b != nil {
-		b.holding.release()
+		b.holding.Release()
 	}
 }
 
@@ -55,18 +56,36 @@
 // request, so that a caller that sends slowly can't keep the request beyond it. Once the whole body has been read it
 // removes the read deadline: net/http keeps reading to detect the end of the connection, and a deadline that passed
 // during that read would cancel all later requests on the connection.
-func readBody(w http.ResponseWriter, r *http.Request, deadline time.Time, h *holding) (*requestBody, error) {
+func readBody(w http.ResponseWriter, r *http.Request, deadline time.Time, h *intake.Holding) (*requestBody, error) {
 	if r.ContentLength == 0 {
-		return newRequestBody(http.NoBody, 0, h)
+		body, _ := newRequestBody(http.NoBody, 0, h) // never fails without bytes
+		return passOn(r, body)
 	}
 	connection := http.NewResponseController(w)
 	_ = connection.SetReadDeadline(deadline) // fails only on a closed connection, on which the read fails too
 	body, err := newRequestBody(r.Body, r.ContentLength, h)
 	if err != nil || body.rest != nil {
 		w.Header().Set("Connection", "close") // its read deadline stays set and may pass
-		return body, err
+	} else {
+		_ = connection.SetReadDeadline(time.Time{}) // as above
+	}
+	switch {
+	case err != nil && intake.Interrupted(r.Context()):
+		return nil, errNoMemory
+	case err != nil:
+		return nil, err
+	default:
+		return passOn(r, body)
+	}
+}
+
+// passOn returns the body of a request that is passed on from now, or errNoMemory if the request was interrupted for lack of
+// room before.
+func passOn(r *http.Request, body *requestBody) (*requestBody, error) {
+	if err := intake.PassOn(r.Context()); err != nil {
+		body.release()
+		return nil, errNoMemory
 	}
-	_ = connection.SetReadDeadline(time.Time{}) // as above
 	return body, nil
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"guavapoint.example/guavapoint/internal/core/quarantine"
 	"guavapoint.example/guavapoint/internal/core/routing"
 	"guavapoint.example/guavapoint/internal/events"
+	"guavapoint.example/guavapoint/internal/intake"
 	"guavapoint.example/guavapoint/internal/settings"
 	"guavapoint.example/guavapoint/internal/telemetry"
 	"guavapoint.example/guavapoint/internal/transport"
@@ -36,7 +37,9 @@
 	incarnation call.Incarnation
 	now         func() time.Time
 
-	callListener  net.Listener // for calls of callers and of the backend server
+	clients       *intake.Intake // of clients that send requests
+	operators     *intake.Intake // of the listeners for control
+	callListener  net.Listener   // for calls of callers and of the backend server
 	adminListener net.Listener
 	ingress       ingressListeners // the listeners are nil without an ingress
 	instance      *instanceTracker // nil if the settings give the slots, without announcements
@@ -93,6 +96,7 @@
 		drain:       newDrainState(drainTimesFor(s)),
 		link:        routing.NewLink(routing.LinkConfig{}),
 	}
+	d.buildIntakes()
 	d.buildStateMachines(base)
 	if err := d.listen(); err != nil {
 		d.closeSockets()
@@ -110,14 +114,14 @@
 // listen opens the listeners and the transport on the addresses in the settings.
 func (d *Daemon) listen() error {
 	var err error
-	if d.callListener, err = net.Listen("tcp", d.settings.CallAddress); err != nil {
+	if d.callListener, err = d.clients.Listen(d.settings.CallAddress); err != nil {
 		return eris.Wrap(err, "open listener on the call address")
 	}
-	if d.adminListener, err = net.Listen("tcp", d.settings.AdminAddress); err != nil {
+	if d.adminListener, err = d.operators.Listen(d.settings.AdminAddress); err != nil {
 		return eris.Wrap(err, "open listener on the admin address")
 	}
 	if d.settings.Ingress != nil {
-		if d.ingress, err = openIngress(d.settings.Ingress); err != nil {
+		if d.ingress, err = openIngress(d.settings.Ingress, d.clients, d.operators); err != nil {
 			return err
 		}
 	}
@@ -231,7 +235,6 @@
 // buildEntryAndUpstream creates the two roles of the daemon, and the membership that finds their peers.
 func (d *Daemon) buildEntryAndUpstream() {
 	report := &reporter{log: d.log, telemetry: d.telemetry}
-	held := newHeldBytes(d.settings)
 	d.upstream = &upstream{
 		service:     d.settings.Service,
 		self:        d.settings.PeerAddress,
@@ -246,7 +249,7 @@
 		backend:     d.backend,
 		failures:    &failureMeter{now: d.now},
 		refusals:    d.refusals,
-		held:        held,
+		held:        d.clients,
 		report:      report,
 		now:         d.now,
 	}
@@ -255,7 +258,7 @@
 		hops:     d.hops,
 		drain:    d.drain,
 		refusals: d.refusals,
-		held:     held,
+		held:     d.clients,
 		dispatch: &dispatcher{
 			self:           d.settings.PeerAddress,
 			peers:          d.transport,
@@ -263,7 +266,7 @@
 			report:         report,
 			services:       d.services,
 			drain:          d.drain,
-			held:           held,
+			held:           d.clients,
 			observeVersion: d.recordPeerVersion,
 			now:            d.now,
 			rng:            newRand(),
--- a/internal/daemon/dispatch.go
+++ b/internal/daemon/dispatch.go
@@ -17,6 +17,7 @@
 	"guavapoint.example/guavapoint/internal/core/retry"
 	"guavapoint.example/guavapoint/internal/core/routing"
 	"guavapoint.example/guavapoint/internal/events"
+	"guavapoint.example/guavapoint/internal/intake"
 	"guavapoint.example/guavapoint/internal/transport"
 	"guavapoint.example/guavapoint/internal/wire"
 )
@@ -40,7 +41,7 @@
 	report   *reporter
 	services *serviceTable
 	drain    *drainState
-	held     *heldBytes
+	held     *intake.Intake
 	// observeVersion is called with the address and the configuration version of each peer that answers.
 	observeVersion func(address string, v wire.ConfigVersion)
 	now            func() time.Time
@@ -310,7 +311,7 @@
 	d.observeVersion(target.Address, answer.Header.Config)
 	d.backends.record(target.Address, answer.Header.Outcome, answer.Header.Backend)
 	req.recordCutoff(answer.Header.Cutoff)
-	return d.attemptFromAnswer(req, target, d.now().Sub(started), answer, granted, reportDone)
+	return d.attemptFromAnswer(ctx, req, target, d.now().Sub(started), answer, granted, reportDone)
 }
 
 // header builds the call header of one attempt.
@@ -363,8 +364,8 @@
 // attemptFromAnswer returns the attempt for an answer header, and reads the start of the body if there is one. granted
 // is the number of retries sent along with the request; those that the upstream did not use return to the request's
 // budget.
-func (d *dispatcher) attemptFromAnswer(req *request, target routing.Picked, took time.Duration, answer *transport.Answer,
-	granted int, reportDone func(routing.DoneInfo)) attempt {
+func (d *dispatcher) attemptFromAnswer(ctx context.Context, req *request, target routing.Picked, took time.Duration,
+	answer *transport.Answer, granted int, reportDone func(routing.DoneInfo)) attempt {
 	h := &answer.Header
 	address := target.Address
 	r := routing.DoneInfo{Latency: took, Outcome: h.Outcome, Reason: h.Reason, Cutoff: h.Cutoff,
@@ -379,10 +380,10 @@
 		return attempt{result: res, sent: true, retryable: retryableOutcome(h.Outcome, h.Reason)}
 	}
 	body := chargeReceived(answer.Body, target.Charge, d.now)
-	held := d.held.holding()
+	held := d.held.Holding(ctx)
 	prefix, err := readHeld(body, maxAnswerPrefix, held)
 	if err != nil && err != io.EOF && err != errNoMemory { // without memory, the answer is passed on as it arrives
-		held.release()
+		held.Release()
 		target.Charge.End(d.now())
 		body.Close()
 		r.Outcome, r.Reason = call.OutcomeUnknown, call.ReasonTruncated
@@ -393,7 +394,7 @@
 	res := &result{outcome: h.Outcome, upstream: address, status: h.Status, header: h.Header, length: h.BodyLength,
 		bodyPrefix: prefix, body: body, overloaded: h.Overloaded}
 	res.onClose = func(complete bool) {
-		held.release()
+		held.Release()
 		target.Charge.End(d.now())
 		if complete {
 			req.retryBudget.Return(min(answer.UnusedRetries(), granted))
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -15,6 +15,7 @@
 	"guavapoint.example/guavapoint/internal/core/call"
 	"guavapoint.example/guavapoint/internal/core/config"
 	"guavapoint.example/guavapoint/internal/events"
+	"guavapoint.example/guavapoint/internal/intake"
 )
 
 // entry accepts calls over HTTP from callers and from the backend server beside this daemon, and forwards them to
@@ -25,7 +26,7 @@
 	dispatch *dispatcher
 	drain    *drainState
 	refusals *refusalTracker
-	held     *heldBytes
+	held     *intake.Intake
 	report   *reporter
 	now      func() time.Time
 }
@@ -87,7 +88,7 @@
 	if req.requiresToken() && req.token == nil {
 		return e.dispatch.requestToken(ctx, req)
 	}
-	body, err := readBody(w, r, req.deadline, e.held.holding())
+	body, err := readBody(w, r, req.deadline, e.held.Holding(r.Context()))
 	if err != nil {
 		return e.refuseLocally(r, bodyErrorReason(err))
 	}
--- a/internal/daemon/heldbytes_test.go
+++ b/internal/daemon/heldbytes_test.go
@@ -5,57 +5,53 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
-	"golang.org/x/sync/semaphore"
 	"pgregory.net/rapid"
 
 	"guavapoint.example/guavapoint/internal/core/call"
 	"guavapoint.example/guavapoint/internal/core/config"
+	"guavapoint.example/guavapoint/internal/core/holdings"
 	"guavapoint.example/guavapoint/internal/core/outcome"
 	"guavapoint.example/guavapoint/internal/core/quarantine"
+	"guavapoint.example/guavapoint/internal/intake"
 	"guavapoint.example/guavapoint/internal/wire"
 )
 
-func newTestHeldBytes(limit int64) *heldBytes {
-	return &heldBytes{semaphore.NewWeighted(limit)}
+func newTestIntake(limit int64) *intake.Intake {
+	return intake.New(holdings.Limits{Bytes: limit, Connections: 1}, time.Now, nil)
 }
 
 // allFree reports whether nothing is held.
-func (h *heldBytes) allFree(limit int64) bool {
-	if !h.free.TryAcquire(limit) {
-		return false
-	}
-	h.free.Release(limit)
-	return true
-}
+func allFree(i *intake.Intake) bool { return i.Usage().Bytes == 0 }
 
 // Guards against requests and answers that hold more memory together than the bound allows, whatever each of them sends or
 // states, and against memory that stays counted after they ended.
 func TestHeldBytesKeepTheirBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.Int64Range(0, 400_000).Draw(t, "limit")
-		h := newTestHeldBytes(limit)
+		h := newTestIntake(limit)
 		var held int64
-		var holdings []*holding
+		var all []*intake.Holding
 		for range rapid.IntRange(1, 20).Draw(t, "readers") {
 			size, most := rapid.IntRange(0, 300_000).Draw(t, "size"), rapid.IntRange(0, 300_000).Draw(t, "most")
-			holding := h.holding()
+			holding := h.Holding(t.Context())
 			got, err := readHeld(iotest.HalfReader(strings.NewReader(strings.Repeat("x", size))), most, holding)
-			if len(got) > most || int64(cap(got)) > holding.bytes+minHeldBuffer {
-				t.Fatalf("read %d bytes of at most %d, and holds %d", len(got), most, holding.bytes)
+			if len(got) > most || int64(cap(got)) > holding.Bytes()+minHeldBuffer {
+				t.Fatalf("read %d bytes of at most %d, and holds %d", len(got), most, holding.Bytes())
 			}
 			if whole := len(got) == min(size, most); whole != (err == nil || err == io.EOF) {
 				t.Fatalf("%d of %d bytes: %v", len(got), min(size, most), err)
 			}
-			if held += holding.bytes; held > limit {
+			if held += holding.Bytes(); held > limit {
 				t.Fatalf("%d bytes are held, the bound is %d", held, limit)
 			}
-			holdings = append(holdings, holding)
+			all = append(all, holding)
 		}
-		for _, holding := range holdings {
-			holding.release()
+		for _, holding := range all {
+			holding.Release()
 		}
-		if !h.allFree(limit) {
+		if !allFree(h) {
 			t.Fatal("memory stays counted")
 		}
 	})
@@ -74,9 +70,9 @@
 		{2 * quarantine.FingerprintBodySize, nil, false},
 		{quarantine.FingerprintBodySize / 2, errNoMemory, false},
 	} {
-		h := newTestHeldBytes(c.limit)
+		h := newTestIntake(c.limit)
 		text := strings.Repeat("x", size)
-		b, err := newRequestBody(strings.NewReader(text), size, h.holding())
+		b, err := newRequestBody(strings.NewReader(text), size, h.Holding(t.Context()))
 		if err != c.err {
 			t.Fatalf("limit %d: %v, want %v", c.limit, err, c.err)
 		}
@@ -89,7 +85,7 @@
 				t.Errorf("limit %d: can be sent again: %v, want %v", c.limit, b.replayable(), c.replayable)
 			}
 		}
-		if b.release(); !h.allFree(c.limit) {
+		if b.release(); !allFree(h) {
 			t.Errorf("limit %d: memory stays counted", c.limit)
 		}
 	}
@@ -98,10 +94,10 @@
 // Guards against answers that fail because no memory is left to hold their first bytes: they are passed on as they arrive.
 func TestAnswersPassWithoutMemory(t *testing.T) {
 	d := newFarDispatcher(t)
-	d.held = newTestHeldBytes(0)
+	d.held = newTestIntake(0)
 	d.expectServed(t)
 	u, tok := newTokenUpstream(t)
-	u.held = newTestHeldBytes(0)
+	u.held = newTestIntake(0)
 	text := strings.Repeat("x", 2*minHeldBuffer)
 	res := u.recordAnswer(&upstreamCall{}, tok, &result{outcome: call.OutcomeAnswered, status: 200, length: int64(len(text)),
 		body: io.NopCloser(strings.NewReader(text))})
@@ -119,7 +115,7 @@
 func TestCallsReleaseTheirMemory(t *testing.T) {
 	const limit = 4 * maxAnswerPrefix
 	d := newFarDispatcher(t)
-	d.held = newTestHeldBytes(limit)
+	d.held = newTestIntake(limit)
 	for _, op := range []config.Operation{{Idempotent: true}, {}} {
 		for range 20 {
 			d.peer.broken = true
@@ -127,7 +123,7 @@
 			d.send(t, op, strings.NewReader("body"), 4)
 		}
 	}
-	if !d.held.allFree(limit) {
+	if !allFree(d.held) {
 		t.Error("memory stays counted")
 	}
 	h := &wire.CallHeader{Token: "t", Minted: true}
--- a/internal/daemon/ingress.go
+++ b/internal/daemon/ingress.go
@@ -22,6 +22,7 @@
 	"guavapoint.example/guavapoint/internal/core/route"
 	"guavapoint.example/guavapoint/internal/core/throttle"
 	"guavapoint.example/guavapoint/internal/events"
+	"guavapoint.example/guavapoint/internal/intake"
 	"guavapoint.example/guavapoint/internal/settings"
 	"guavapoint.example/guavapoint/internal/wire"
 	"guavapoint.example/guavapoint/platform"
@@ -64,14 +65,14 @@
 }
 
 // openIngress opens the listeners of an ingress. With an error it also returns those that it opened before.
-func openIngress(s *settings.Ingress) (l ingressListeners, err error) {
-	if l.calls, err = net.Listen("tcp", s.Address); err != nil {
+func openIngress(s *settings.Ingress, clients, control *intake.Intake) (l ingressListeners, err error) {
+	if l.calls, err = clients.Listen(s.Address); err != nil {
 		return l, eris.Wrap(err, "open the ingress listener")
 	}
-	if l.ready, err = net.Listen("tcp", s.ReadyAddress); err != nil {
+	if l.ready, err = control.Listen(s.ReadyAddress); err != nil {
 		return l, eris.Wrap(err, "open the ready listener")
 	}
-	if l.announce, err = net.Listen("tcp", s.AnnounceAddress); err != nil {
+	if l.announce, err = control.Listen(s.AnnounceAddress); err != nil {
 		return l, eris.Wrap(err, "open the announce listener")
 	}
 	return l, nil
@@ -277,7 +278,7 @@
 
 // dispatchRoute reads the body and sends the request to an upstream, with the name of the local service as the caller.
 func (i *ingress) dispatchRoute(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) *result {
-	body, err := readBody(w, r, req.deadline, i.held.holding())
+	body, err := readBody(w, r, req.deadline, i.held.Holding(r.Context()))
 	if err != nil {
 		return notRun(bodyErrorReason(err))
 	}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -90,6 +90,7 @@
 	load := d.admission.load()
 	version, _ := d.config.Current()
 	link := d.link.State(d.now())
+	clients := d.clients.Usage()
 	g := telemetry.Gauges{
 		Limit:          load.Limit,
 		InFlight:       load.InFlight,
@@ -101,6 +102,9 @@
 		ConfigRevision: version.Revision,
 		LinkBalance:    link.Balance,
 		LinkUploadDebt: link.UploadDebt,
+
+		ClientConnections: clients.Connections,
+		ClientBytes:       clients.Bytes,
 	}
 	if d.instance != nil {
 		g.RateLimit = d.instance.current().RateLimit
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -12,6 +12,7 @@
 	"guavapoint.example/guavapoint/internal/core/membership"
 	"guavapoint.example/guavapoint/internal/core/quarantine"
 	"guavapoint.example/guavapoint/internal/events"
+	"guavapoint.example/guavapoint/internal/intake"
 	"guavapoint.example/guavapoint/internal/settings"
 )
 
@@ -76,6 +77,7 @@
 func (d *Daemon) serveWithIdleTimeout(l net.Listener, h http.Handler, idle time.Duration) *http.Server {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: maxHTTPHeaderSize,
 		IdleTimeout: idle, ConnContext: withCallSequence}
+	intake.Configure(s, refuseWithoutRoom)
 	d.tasks.Go(func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			d.log.Log(events.ListenerFailed, nil, l.Addr().String(), err.Error())
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -15,6 +15,7 @@
 	"guavapoint.example/guavapoint/internal/core/quarantine"
 	"guavapoint.example/guavapoint/internal/core/retry"
 	"guavapoint.example/guavapoint/internal/events"
+	"guavapoint.example/guavapoint/internal/intake"
 	"guavapoint.example/guavapoint/internal/telemetry"
 	"guavapoint.example/guavapoint/internal/transport"
 	"guavapoint.example/guavapoint/internal/wire"
@@ -36,7 +37,7 @@
 	backend     *backend
 	failures    *failureMeter
 	refusals    *refusalTracker
-	held        *heldBytes
+	held        *intake.Intake
 	report      *reporter
 	now         func() time.Time
 }
@@ -99,7 +100,7 @@
 		return res
 	}
 	var err error
-	if c.body, err = newRequestBody(body, c.header.BodyLength, u.held.holding()); err != nil {
+	if c.body, err = newRequestBody(body, c.header.BodyLength, u.held.Holding(ctx)); err != nil {
 		return bodyReadFailed(c.header, err)
 	}
 	c.fingerprint = quarantine.NewFingerprint(c.header.Service, c.header.Method, c.header.Path, c.body.prefix)
--- a/internal/daemon/servetoken.go
+++ b/internal/daemon/servetoken.go
@@ -194,7 +194,7 @@
 	}
 }
 
-// recordAnswer reads the answer as far as the token table and the bound of heldBytes allow to keep it, records the outcome
+// recordAnswer reads the answer as far as the token table and the budget allow to keep it, records the outcome
 // under the token and returns a result that holds the answer in memory. The rest of a larger answer is read while it is sent,
 // see recordWhenSent. If the request did not run, its token is refused as well.
 func (u *upstream) recordAnswer(c *upstreamCall, tok call.Token, res *result) *result {
@@ -208,22 +208,22 @@
 		u.tokens.finish(tok, outcome.LostAnswer(res.reason))
 		return res
 	}
-	held := u.held.holding()
+	held := u.held.Holding(context.Background())
 	body, err := readHeld(io.MultiReader(bytes.NewReader(res.bodyPrefix), res.body), outcome.MaxAnswerSize+1, held)
 	if err == nil || err == errNoMemory {
 		res.bodyPrefix = body
-		return addOnClose(u.recordWhenSent(tok, res), held.release)
+		return addOnClose(u.recordWhenSent(tok, res), held.Release)
 	}
 	res.close(err == io.EOF)
 	if err != io.EOF {
-		held.release()
+		held.Release()
 		u.tokens.finish(tok, outcome.LostAnswer(call.ReasonTruncated))
 		return unknown(call.ReasonTruncated)
 	}
 	u.tokens.finish(tok, storedAnswer(res, body))
 	kept := &result{outcome: call.OutcomeAnswered, status: res.status, header: res.header, length: int64(len(body)),
 		bodyPrefix: body, body: noBody}
-	return addOnClose(kept, held.release)
+	return addOnClose(kept, held.Release)
 }
 
 // recordWhenSent records the outcome of an answer that is too large to keep when its result is closed: that it was too
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -59,6 +59,7 @@
 	CallRefused     = decision(4017, info, "call-refused", "the upstream's daemon refused a call before it ran", "from", "reason", "class", "limit", "in_flight", "waiting", "cutoff", "instance", "instance_state", "config_revision")
 	RequestRepeated = decision(4019, info, "request-repeated", "the entry retries a request on another upstream", "target_service", "class", "upstream", "outcome", "reason", "status", "attempts", "time_left")
 	OutcomeAsked    = decision(4020, info, "outcome-asked", "the entry queried the outcome of a request whose answer was lost", "target_service", "upstream", "reason", "outcome", "time_left")
+	ConnectionEnded = limited(4021, warning, "connection-ended", "a client's connection was ended, because clients hold too much", "stage")
 	CallFailed      = decision(4018, warning, "call-failed", "a call that was forwarded to the backend server produced no answer", "from", "reason", "class", "instance", "time_left")
 )
 
--- a/internal/loopback/pool.go
+++ b/internal/loopback/pool.go
@@ -145,7 +145,7 @@
 
 // dial opens a connection.
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: sockets.WithReceiveBuffer(sockets.ReceiveBuffer)}
 	raw, err := dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, err
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -77,7 +77,7 @@
 // settings reads all fields of the root object and reports their problems.
 func (r *reader) settings(root *node) *Settings {
 	o := r.object("", root, "name", "service", "region", "zone", "peer_address", "call_address", "admin_address",
-		"backend", "tls", "platform", "peers", "calls", "telemetry", "log", "drain_limit", "ingress", "bounds", "memory_mb", "kill_after", "peer_bind")
+		"backend", "tls", "platform", "peers", "calls", "telemetry", "log", "drain_limit", "ingress", "bounds", "memory_mb", "max_files", "kill_after", "peer_bind")
 	s := &Settings{
 		Name:         o.text("name", "", nameRule),
 		Service:      o.text("service", "", nameRule),
@@ -98,6 +98,9 @@
 	if o.get("memory_mb") != nil {
 		s.MemoryMB = o.integer("memory_mb", 32, 1<<20)
 	}
+	if o.get("max_files") != nil {
+		s.MaxFiles = o.integer("max_files", minMaxFiles, 1<<30)
+	}
 	s.Ingress = r.ingress(o.get("ingress"))
 	s.Bounds = r.bounds(o.get("bounds"))
 	if o.get("tls") != nil || s.Ingress == nil {
@@ -117,6 +120,9 @@
 	return s
 }
 
+// minMaxFiles is the least number of descriptors with which a daemon can serve.
+const minMaxFiles = 64
+
 // checkDistinct reports a field whose address equals that of another field. An empty address is not compared, since it
 // has been reported already.
 func (r *reader) checkDistinct(field, address, otherField, otherAddress string) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -89,6 +89,8 @@
 	DrainLimit time.Duration
 	// MemoryMB is the memory limit of the process in MiB; 0 means no limit.
 	MemoryMB int
+	// MaxFiles is the number of descriptors that the process may open; 0 means as many as the system allows.
+	MaxFiles int
 }
 
 // Backend describes the backend server beside the daemon.
--- a/internal/soak/crowd_test.go
+++ b/internal/soak/crowd_test.go
@@ -109,6 +109,9 @@
 	return nil
 }
 
+// samplesOfCrowd is the number of times that the processes are looked at while a crowd is there.
+const samplesOfCrowd = 40
+
 // crowdSendTime is the time after which a crowd that still sends counts as there: a client whose bytes nobody reads
 // waits for as long as its connection stays open.
 const crowdSendTime = 15 * time.Second
@@ -193,6 +196,7 @@
 			d.awaitRecovery()
 			meter := newUsageMeter(d.vms)
 			leave := c.arrive(d.vms[0])
+			meter.awaitRounds(samplesOfCrowd)
 			if !answersOrdinaryRequest(d.vms[0], "beside-a-crowd") {
 				t.Error("an ordinary request was not answered beside the crowd")
 			}
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -120,18 +120,23 @@
 type usageMeter struct {
 	mu   sync.Mutex
 	peak map[string]usage // by daemon; the unread bytes of the time at which memory and unread bytes were highest together
+	each chan struct{}    // receives after each round of samples, if somebody waits
 	stop chan struct{}
 	done sync.WaitGroup
 }
 
 func newUsageMeter(vms []*vm) *usageMeter {
-	m := &usageMeter{peak: make(map[string]usage), stop: make(chan struct{})}
+	m := &usageMeter{peak: make(map[string]usage), each: make(chan struct{}), stop: make(chan struct{})}
 	m.done.Go(func() {
 		for {
 			for _, v := range vms {
 				m.sample(v)
 			}
 			select {
+			case m.each <- struct{}{}:
+			default:
+			}
+			select {
 			case <-m.stop:
 				return
 			case <-time.After(samplingInterval):
@@ -141,6 +146,13 @@
 	return m
 }
 
+// awaitRounds waits until all processes were sampled a number of times.
+func (m *usageMeter) awaitRounds(n int) {
+	for range n {
+		<-m.each
+	}
+}
+
 func (m *usageMeter) sample(v *vm) {
 	now, err := v.processUsage()
 	if err != nil {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -1,5 +1,5 @@
-// Package sockets holds the keep-alive settings of the project's TCP connections and the check of idle connections
-// before they are used again.
+// Package sockets holds the settings of the project's TCP connections, and the check of idle connections before they are
+// used again.
 package sockets
 
 import (
@@ -34,3 +34,19 @@
 	})
 	return err == nil && empty
 }
+
+// ReceiveBuffer is the size of the kernel's buffer for what arrives on a connection to a daemon or a backend server, in
+// bytes. What waits in it counts as memory of the process, so it is not left to the kernel, which may use several MB. It
+// covers what a fast link between regions carries in a round trip.
+const ReceiveBuffer = 128 << 10
+
+// WithReceiveBuffer returns a Control function of a net.ListenConfig or net.Dialer that sets the receive buffer of a socket,
+// in bytes. A connection takes it over from its listener.
+func WithReceiveBuffer(size int) func(network, address string, c syscall.RawConn) error {
+	return func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			// If this failed, the kernel's own size would apply.
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, size)
+		})
+	}
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -47,6 +47,9 @@
 	ConfigEpoch, ConfigRevision uint64
 	// LinkBalance and LinkUploadDebt are the state of the byte budget on the region link, in bytes.
 	LinkBalance, LinkUploadDebt int64
+	// ClientConnections and ClientBytes are what clients make the daemon hold.
+	ClientConnections int
+	ClientBytes       int64
 }
 
 // instruments are the metrics of one daemon.
@@ -141,6 +144,8 @@
 	revision := gauge("config_revision", "Revision of the configuration in effect.")
 	linkBalance := gauge("link_balance_bytes", "Byte budget on the region link that may be used at once; negative while it recovers.")
 	linkDebt := gauge("link_upload_debt_bytes", "Size of earlier uploads over the region link that delays the next one.")
+	clientConnections := gauge("client_connections", "Open connections of clients.")
+	clientBytes := gauge("client_held_bytes", "Bytes that connections of clients and requests in flight hold of their budget.")
 	rateLimit, err := i.meter.Float64ObservableGauge("rate_limit",
 		metric.WithDescription("Requests per second that the backend server takes, by its own statement."))
 	errs = append(errs, err)
@@ -164,10 +169,13 @@
 		o.ObserveInt64(revision, int64(g.ConfigRevision))
 		o.ObserveInt64(linkBalance, g.LinkBalance)
 		o.ObserveInt64(linkDebt, g.LinkUploadDebt)
+		o.ObserveInt64(clientConnections, int64(g.ClientConnections))
+		o.ObserveInt64(clientBytes, g.ClientBytes)
 		for state, n := range g.Members {
 			o.ObserveInt64(members, int64(n), metric.WithAttributes(attribute.String("state", state)))
 		}
 		return nil
-	}, limit, inFlight, waiting, cutoff, sent, rateLimit, members, epoch, revision, linkBalance, linkDebt)
+	}, limit, inFlight, waiting, cutoff, sent, rateLimit, members, epoch, revision, linkBalance, linkDebt,
+		clientConnections, clientBytes)
 	return err
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -37,12 +37,13 @@
 	if err != nil {
 		return nil, err
 	}
-	config := net.ListenConfig{KeepAliveConfig: sockets.KeepAlive}
+	receiveBuffer := sockets.WithReceiveBuffer(sockets.ReceiveBuffer)
+	config := net.ListenConfig{KeepAliveConfig: sockets.KeepAlive, Control: receiveBuffer}
 	listener, err := config.Listen(context.Background(), "tcp", cfg.Address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers on %s: %w", cfg.Address, err)
 	}
-	dialer := net.Dialer{KeepAliveConfig: sockets.KeepAlive}
+	dialer := net.Dialer{KeepAliveConfig: sockets.KeepAlive, Control: receiveBuffer}
 	return newTransport(cfg, listener, func(ctx context.Context, address string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp", address)
 	}), nil
