Free the slot of an upload that can't be finished

What callers saw: beside 400 uploads that stop one byte short, and for 30 s after their clients had left, no ordinary request to the same service was answered (TestCrowds).

Cause: an upload above 256 KiB is passed on while it arrives. When its body broke off or stopped, the daemon beside the backend server still waited for the response until the deadline, which the client chooses, and 10 s more, and the slot was taken for as long.

Change: a body that is sent on while it arrives cancels its request when it breaks off, and when nothing of it has arrived for 2 s while all slots are taken. In calm a client may be as slow as its deadline allows. The outcome is unknown, as it may have run in part, and it doesn't count as a failure of the backend server.

--- a/internal/cli/reasons.go
+++ b/internal/cli/reasons.go
@@ -90,7 +90,7 @@
 		ranNoUnlessEarlier, "Look for a cycle between services. The calls above this one in the chain did run.",
 	},
 	call.ReasonCanceled: {
-		"The caller canceled the request, or sent only a part of it, before it was dispatched.",
+		"The caller canceled the request, or sent only a part of it. An upload that is sent on while it arrives may have run in part.",
 		ranNoUnlessEarlier, "Nothing. If it is frequent, the callers' timeouts are shorter than the service's latency.",
 	},
 	call.ReasonParentGone: {
--- a/internal/core/call/outcome.go
+++ b/internal/core/call/outcome.go
@@ -48,7 +48,7 @@
 	ReasonQuarantined    Reason = "quarantined"      // the request's fingerprint is confirmed to crash backend servers
 	ReasonLinkBudget     Reason = "link-budget"      // only another region can serve, and the link's byte budget is spent
 	ReasonDepth          Reason = "depth"            // the call chain is deeper than MaxDepth
-	ReasonCanceled       Reason = "canceled"         // the caller canceled, or sent only a part, before dispatch
+	ReasonCanceled       Reason = "canceled"         // the caller canceled, or sent only a part
 	ReasonParentGone     Reason = "parent-gone"      // the request that a child call belongs to is no longer running
 	ReasonThrottled      Reason = "throttled"        // most requests of the route fail deep in the call graph; not started
 	ReasonRateLimit      Reason = "rate-limit"       // the rate that the backend server states is used up
--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -116,6 +116,12 @@
 	return q.controller.Load()
 }
 
+// full reports whether a request more would have to wait.
+func (q *admissionQueue) full() bool {
+	load := q.load()
+	return load.InFlight >= load.Limit
+}
+
 // loadPercent returns the number of running and waiting requests in percent of the limit, or the demand in percent of the
 // rate limit if that is more.
 func (q *admissionQueue) loadPercent() int {
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -40,7 +40,8 @@
 	// recordReport is called with what each response of an announced backend server says about the backend server, and
 	// with the time at which the request was sent.
 	recordReport func(sentAt time.Time, r announce.Report)
-	onDialFailed func() // called if no connection to the backend server could be opened
+	onDialFailed func()      // called if no connection to the backend server could be opened
+	slotsTaken   func() bool // reports whether a request more would have to wait
 	log          *events.Logger
 	now          func() time.Time
 }
@@ -54,11 +55,16 @@
 // run sends a request to the backend server and returns the result, which the caller closes. overloaded reports that
 // the backend server itself refused the request because of overload (status 503 or 429).
 func (b *backend) run(c *upstreamCall, hopContext, traceParent string) (res *result, overloaded bool) {
-	ctx, cancel := context.WithTimeout(c.backendCtx, b.maxWait(c))
+	ctx, stop := context.WithCancelCause(c.backendCtx)
+	ctx, endTimer := context.WithTimeout(ctx, b.maxWait(c))
+	cancel := func() {
+		stop(nil)
+		endTimer()
+	}
 	var dispatched atomic.Bool
 	dispatched.Store(true) // until the request is known not to have been sent
 	inFlight := b.crashes.add(c.fingerprint, &dispatched)
-	req, err := b.request(ctx, c, hopContext, traceParent)
+	req, err := b.request(ctx, stop, c, hopContext, traceParent)
 	if err != nil {
 		inFlight.remove()
 		cancel()
@@ -99,9 +105,22 @@
 	return min(c.deadline.Sub(b.now())+lateAnswerTime, maxRunTime)
 }
 
-// request builds the HTTP request to the backend server, with the header fields of the platform or of the project.
-func (b *backend) request(ctx context.Context, c *upstreamCall, hopContext, traceParent string) (*http.Request, error) {
+// body returns the body of a request. If a part of it still has to arrive, stop cancels the request as arrivingBody says.
+func (b *backend) body(ctx context.Context, stop context.CancelCauseFunc, c *upstreamCall) io.Reader {
 	body, _ := c.body.reader()
+	if c.body.rest == nil {
+		return body
+	}
+	arriving := &arrivingBody{Reader: body, now: b.now, cancel: stop}
+	go arriving.watch(ctx, b.slotsTaken)
+	return arriving
+}
+
+// request builds the HTTP request to the backend server, with the header fields of the platform or of the project. stop
+// cancels it.
+func (b *backend) request(ctx context.Context, stop context.CancelCauseFunc, c *upstreamCall,
+	hopContext, traceParent string) (*http.Request, error) {
+	body := b.body(ctx, stop, c)
 	req, err := http.NewRequestWithContext(ctx, c.header.Method, b.base.String()+c.header.Path, io.NopCloser(body))
 	if err != nil {
 		return nil, err
@@ -146,6 +165,8 @@
 	case !dispatched:
 		b.onDialFailed()
 		return notRun(call.ReasonBackendRefused)
+	case isBodyFault(context.Cause(ctx)):
+		return unknown(call.ReasonCanceled)
 	case ctx.Err() != nil:
 		return unknown(call.ReasonTimeout)
 	case inFlight.lostToCrash():
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -167,6 +167,7 @@
 	crashes := newCrashDetector(func() bool { return d.backend.reachable() }, d.handleBackendCrash)
 	d.backend = newBackend(base, crashes, d.markBackendDown, d.log, d.now)
 	d.backend.instance = d.instance
+	d.backend.slotsTaken = d.admission.full
 	d.backend.recordReport = d.recordReport
 	d.refusals = &refusalTracker{now: d.now}
 }
--- a/internal/daemon/failures.go
+++ b/internal/daemon/failures.go
@@ -20,10 +20,10 @@
 	meter failrate.Meter
 }
 
-// record counts a request that was sent to the backend server. A request that its caller canceled is not counted,
-// because its result says nothing about the backend server.
+// record counts a request that was sent to the backend server. A request that its caller canceled, or of which it sent only a
+// part, is not counted, because its result says nothing about the backend server.
 func (f *failureMeter) record(ctx context.Context, res *result) {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(ctx.Err(), context.Canceled) || res.reason == call.ReasonCanceled {
 		return
 	}
 	f.mu.Lock()
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -6,11 +6,8 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
-
-	"guavapoint.example/guavapoint/platform"
 )
 
 // lateRequest is a request of a caller that has sent its header and the half of its body.
@@ -46,19 +43,6 @@
 	return readReply(resp)
 }
 
-// writeLongTimeouts writes version 2 of the operator's configuration, in which requests may take 20 s.
-func (s *testCluster) writeLongTimeouts(client *platform.Client) {
-	s.t.Helper()
-	kv, err := client.Get(s.t.Context(), platform.ConfigKey)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	text := strings.ReplaceAll(fmt.Sprintf(operatorConfig, 2, "lookup"), `"timeout":"5s"`, `"timeout":"20s"`)
-	if _, err := client.CompareAndSwap(s.t.Context(), platform.ConfigKey, kv.Revision, []byte(text), 0); err != nil {
-		s.t.Fatal(err)
-	}
-}
-
 // closed reports whether the ingress accepts no connections any more.
 func (n *testDaemon) closed() bool {
 	conn, err := net.Dial("tcp", n.settings.Ingress.Address)
@@ -72,7 +56,7 @@
 // know whether it ran: its header had been read before the ingress closed, and its body became whole after that.
 func TestLateRequestIsRefusedNotCutOff(t *testing.T) {
 	s := newTestCluster(t)
-	s.writeLongTimeouts(s.withOperatorConfig())
+	s.writeTimeouts(s.withOperatorConfig(), "20s")
 	b := newAnnouncedBackend(t, "i-1")
 	b.answer = func(_ http.ResponseWriter, r *http.Request) bool {
 		<-r.Context().Done()
