Don't take a reset during an upload for the end of an answer

Cause: one goroutine writes the request and another reads the response. A reset is reported once. If the first one gets it, the second one sees the end of the connection, where a body without a length ends by rule.

Ruled out: the connections between daemons (an answer ends there with a message of its own); bodies with a length or in chunks (their end in the middle is an error).

Change: such an end counts only if the request was written completely and without an error. The same cause elsewhere: net/http clients of the store, the commands, the load tool, the stand-ins and the soak refuse a response without a declared end to a request with a body (httpcheck.Checked), and responses that aren't valid.

--- a/attempt.go
+++ b/attempt.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"guavapoint.example/guavapoint/internal/core/call"
+	"guavapoint.example/guavapoint/internal/httpcheck"
 )
 
 var (
@@ -114,8 +115,10 @@
 // readComplete reads a response up to its declared end and removes the headers of guavapoint. A response whose end is
 // marked only by the end of the connection is rejected, because a truncated one looks the same.
 func readComplete(resp *http.Response) (*Response, error) {
-	chunked := len(resp.TransferEncoding) > 0
-	if resp.ContentLength < 0 && !chunked && resp.Body != http.NoBody {
+	if err := httpcheck.Check(resp); err != nil {
+		return nil, err
+	}
+	if !httpcheck.Framed(resp) {
 		return nil, errNoDeclaredEnd
 	}
 	body, err := io.ReadAll(resp.Body)
--- a/internal/cli/admin.go
+++ b/internal/cli/admin.go
@@ -16,6 +16,7 @@
 
 	"guavapoint.example/guavapoint/internal/core/config"
 	"guavapoint.example/guavapoint/internal/daemon"
+	"guavapoint.example/guavapoint/internal/httpcheck"
 )
 
 const (
@@ -27,7 +28,7 @@
 )
 
 // adminHTTP ignores proxy environment variables, because admin addresses are inside the deployment.
-var adminHTTP = &http.Client{Transport: &http.Transport{}}
+var adminHTTP = &http.Client{Transport: httpcheck.Checked(&http.Transport{})}
 
 // adminError is an error response of an admin listener.
 type adminError struct {
--- a/internal/loopback/pool.go
+++ b/internal/loopback/pool.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"guavapoint.example/guavapoint/internal/httpcheck"
 	"guavapoint.example/guavapoint/internal/sockets"
 )
 
@@ -120,7 +121,7 @@
 		return nil, fmt.Errorf("send request to %s: %w: %w", p.address, ErrConnectionLost, err)
 	}
 	resp.Body = &responseBody{ReadCloser: resp.Body, pool: p, conn: c, stop: stop, written: written,
-		reusable: reusable(resp) && !c.alone}
+		framed: httpcheck.Framed(resp), reusable: reusable(resp) && !c.alone}
 	return resp, nil
 }
 
@@ -153,9 +154,13 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
+	return newConn(raw), nil
+}
+
+func newConn(raw net.Conn) *conn {
 	limited := &limitedConn{Conn: raw, left: noLimit}
 	return &conn{Conn: raw, limited: limited, reader: bufio.NewReader(limited), writer: bufio.NewWriter(raw),
-		idleTimeout: defaultIdleTimeout}, nil
+		idleTimeout: defaultIdleTimeout}
 }
 
 // errHeadTooLarge reports a response header larger than maxHeadBytes.
@@ -290,6 +295,7 @@
 	conn     *conn
 	stop     func() bool  // stops closing the connection when the context ends; false if that has happened
 	written  <-chan error // result of writing the request
+	framed   bool         // the response says where its body ends
 	reusable bool
 	sawEOF   bool // the body was read to its end
 	released bool // the connection was returned to the pool or closed
@@ -298,6 +304,9 @@
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		err = b.checkEnd()
+	}
 	if err == io.EOF {
 		b.sawEOF = true
 		b.release()
@@ -307,6 +316,26 @@
 	return n, err
 }
 
+// writeEndTime is how long the end of writing a request is awaited when the connection has ended.
+const writeEndTime = 100 * time.Millisecond
+
+// checkEnd returns io.EOF if the body has proved to be complete, or else an error. A body that ends with the connection has
+// only if the request was written completely: a reset is reported once, and if the writing goroutine gets it, the connection
+// just seems to end here.
+func (b *responseBody) checkEnd() error {
+	if b.framed {
+		return io.EOF
+	}
+	select {
+	case err := <-b.written:
+		if err == nil {
+			return io.EOF
+		}
+	case <-time.After(writeEndTime):
+	}
+	return io.ErrUnexpectedEOF
+}
+
 // Close implements io.Closer.
 func (b *responseBody) Close() error {
 	b.release()
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"guavapoint.example/guavapoint/internal/httpcheck"
 )
 
 // callerTimeout is the timeout that callers send with each request.
@@ -29,7 +31,7 @@
 	transport := &http.Transport{MaxIdleConnsPerHost: 4}
 	return &caller{
 		vm: v, checker: checker, rng: rand.New(rand.NewPCG(seed, 1)), plannedWorkOnly: plannedWorkOnly, name: name,
-		client: &http.Client{Transport: transport, Timeout: callerTimeout + time.Second},
+		client: &http.Client{Transport: httpcheck.Checked(transport), Timeout: callerTimeout + time.Second},
 	}
 }
 
--- a/internal/soak/crowd_test.go
+++ b/internal/soak/crowd_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"guavapoint.example/guavapoint/internal/httpcheck"
 )
 
 // crowdMemoryMB is the memory limit of the daemons that a crowd of clients sends to.
@@ -154,7 +156,7 @@
 // answersOrdinaryRequest reports whether a daemon answers one request of an ordinary client, which sends it again after a
 // refusal or an error.
 func answersOrdinaryRequest(v *vm, id string) bool {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: callerTimeout}
+	client := &http.Client{Transport: httpcheck.Checked(&http.Transport{DisableKeepAlives: true}), Timeout: callerTimeout}
 	for i, end := 0, time.Now().Add(recoveryLimit); time.Now().Before(end); i++ {
 		req, err := http.NewRequest(http.MethodGet, "http://"+v.ingressAddress+"/read/ordinary", http.NoBody)
 		if err != nil {
--- a/internal/standin/backend/child.go
+++ b/internal/standin/backend/child.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"regexp"
 	"strings"
+
+	"guavapoint.example/guavapoint/internal/httpcheck"
 )
 
 // Headers of the daemon's call listener, as published in docs/design.md.
@@ -50,7 +52,7 @@
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.Proxy = nil
 	t.MaxIdleConnsPerHost = 128
-	return &http.Client{Transport: t}
+	return &http.Client{Transport: httpcheck.Checked(t)}
 }
 
 // childClient makes child calls through the daemon beside the backend server.
--- a/internal/standin/load/client.go
+++ b/internal/standin/load/client.go
@@ -16,6 +16,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"guavapoint.example/guavapoint/internal/httpcheck"
 )
 
 // Headers of the call listener, as published in docs/design.md. headerRequestKey is read by the stand-in backend
@@ -88,7 +90,7 @@
 	t.Proxy = nil      // ignore HTTP_PROXY of the environment
 	t.MaxIdleConns = 0 // no limit over all hosts; the limit per host applies
 	t.MaxIdleConnsPerHost = o.MaxInFlight
-	return &client{http: &http.Client{Transport: t}, entries: o.Entries, timeout: o.Timeout, resends: o.Resends}
+	return &client{http: &http.Client{Transport: httpcheck.Checked(t)}, entries: o.Entries, timeout: o.Timeout, resends: o.Resends}
 }
 
 // request is one request and the state that its attempts share.
--- a/internal/standin/load/overhead.go
+++ b/internal/standin/load/overhead.go
@@ -12,6 +12,8 @@
 	"strings"
 	"text/tabwriter"
 	"time"
+
+	"guavapoint.example/guavapoint/internal/httpcheck"
 )
 
 // OverheadOptions configure a measurement of the latency and CPU time that daemons add to a call.
@@ -53,7 +55,7 @@
 		return nil, fmt.Errorf("count is %d, allowed is 1 to %d; warmup is %d, allowed is 0 to %d; "+
 			"path is %q, allowed is a path that begins with '/'", o.Count, MaxCount, o.Warmup, MaxCount, o.Path)
 	}
-	c := &http.Client{Transport: &http.Transport{}}
+	c := &http.Client{Transport: httpcheck.Checked(&http.Transport{})}
 	defer c.CloseIdleConnections()
 	urls := []string{"http://" + o.Direct + o.Path, "http://" + o.Entry + "/call/" + o.Service + o.Path}
 	if _, err := timeCalls(ctx, c, urls, o.Warmup); err != nil {
