Check the head of an answer before believing it

What callers saw: answers that are none. A field "X Odd" and a status 999 were passed on; "Content-Length : 4" before "Content-Length: 2" gave a 200 with two bytes that weren't the backend server's answer.

Cause: a head was believed as far as net/http could read it. net/textproto keeps names with a blank as they are, so that these hide a length or a coding from net/http; statuses are any three digits, and those below 200 are skipped.

Ruled out: control bytes and tabs in names (net/textproto rejects them); a status 000 as the answer itself (it was skipped, and the next one taken).

Change: internal/httpcheck checks the head as it was received: version, status, names, values, no folded lines, one framing, and the names of trailers at the end of a body.

--- a/internal/loopback/pool.go
+++ b/internal/loopback/pool.go
@@ -120,7 +120,7 @@
 		c.Close()
 		return nil, fmt.Errorf("send request to %s: %w: %w", p.address, ErrConnectionLost, err)
 	}
-	resp.Body = &responseBody{ReadCloser: resp.Body, pool: p, conn: c, stop: stop, written: written,
+	resp.Body = &responseBody{ReadCloser: resp.Body, pool: p, conn: c, stop: stop, written: written, resp: resp,
 		framed: httpcheck.Framed(resp), reusable: reusable(resp) && !c.alone}
 	return resp, nil
 }
@@ -169,10 +169,11 @@
 // noLimit is the value of limitedConn.left while the reads are not limited.
 const noLimit = -1
 
-// limitedConn reads from a connection up to a number of bytes.
+// limitedConn reads from a connection up to a number of bytes, and records them.
 type limitedConn struct {
 	net.Conn
-	left int // bytes that may be read, or noLimit
+	left   int // bytes that may be read, or noLimit
+	record httpcheck.Recorder
 }
 
 // Read implements io.Reader. It returns errHeadTooLarge when no more may be read.
@@ -185,6 +186,7 @@
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.left)])
 	c.left -= n
+	c.record.Add(p[:n])
 	return n, err
 }
 
@@ -247,9 +249,13 @@
 // be used after them.
 func (c *conn) read(req *http.Request, matches func(http.Header) bool) (*http.Response, error) {
 	c.limited.left = maxHeadBytes
-	defer func() { c.limited.left = noLimit }()
+	c.limited.record.Start(nil)
+	defer func() {
+		c.limited.left = noLimit
+		c.limited.record.Stop()
+	}()
 	for mismatched := 0; ; {
-		resp, err := http.ReadResponse(c.reader, req)
+		resp, err := c.readHead(req)
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
@@ -265,13 +271,34 @@
 			return nil, errors.New("read response: it belongs to another request")
 		}
 		c.limited.left = maxDiscardBytes
+		c.limited.record.Stop()
 		if n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes)); err != nil || n == maxDiscardBytes {
 			return nil, errors.New("skip response to another request: its body is broken or too large")
 		}
 		c.limited.left = maxHeadBytes
+		read, _ := c.reader.Peek(c.reader.Buffered()) // never fails for what is buffered
+		c.limited.record.Start(read)
 	}
 }
 
+// readHead reads the head of a response and checks it as it was received.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	resp, err := http.ReadResponse(c.reader, req)
+	if err != nil {
+		return nil, err
+	}
+	if err := httpcheck.CheckHead(c.limited.record.Take(c.reader.Buffered())); err != nil {
+		return nil, err
+	}
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return nil, errSwitched
+	}
+	return resp, nil
+}
+
+// errSwitched reports a response that changes the protocol, which no request asks for.
+var errSwitched = errors.New("response switches to another protocol")
+
 // updateIdleTimeout sets the idle timeout from the Keep-Alive header, in which the backend server announces after how
 // many seconds it closes an idle connection.
 func (c *conn) updateIdleTimeout(h http.Header) {
@@ -295,7 +322,8 @@
 	conn     *conn
 	stop     func() bool  // stops closing the connection when the context ends; false if that has happened
 	written  <-chan error // result of writing the request
-	framed   bool         // the response says where its body ends
+	resp     *http.Response
+	framed   bool // the response says where its body ends
 	reusable bool
 	sawEOF   bool // the body was read to its end
 	released bool // the connection was returned to the pool or closed
@@ -323,6 +351,9 @@
 // only if the request was written completely: a reset is reported once, and if the writing goroutine gets it, the connection
 // just seems to end here.
 func (b *responseBody) checkEnd() error {
+	if err := httpcheck.CheckFields(b.resp.Trailer); err != nil {
+		return err
+	}
 	if b.framed {
 		return io.EOF
 	}
--- a/internal/wire/codec_test.go
+++ b/internal/wire/codec_test.go
@@ -96,6 +96,28 @@
 	}
 }
 
+// Guards against an answer of a peer that callers could read as another one, or that no backend server gives.
+func TestReadAnswerHeaderRefuses(t *testing.T) {
+	for name, change := range map[string]func(*AnswerHeader){
+		"informational status": func(h *AnswerHeader) { h.Status = 101 },
+		"no status":            func(h *AnswerHeader) { h.Status = 0 },
+		"high status":          func(h *AnswerHeader) { h.Status = 600 },
+		"blank in a name":      func(h *AnswerHeader) { h.Header = []Header{{Name: "X Odd", Values: []string{"1"}}} },
+		"control byte":         func(h *AnswerHeader) { h.Header = []Header{{Name: "X\x01", Values: []string{"1"}}} },
+	} {
+		h := answerHeader()
+		change(h)
+		payload, err := encMode.Marshal(h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var field *FieldError
+		if _, err := ReadAnswerHeader(bytes.NewReader(raw(KindAnswerHeader, string(payload)))); !errors.As(err, &field) {
+			t.Errorf("%s: got %v, want a FieldError", name, err)
+		}
+	}
+}
+
 // Guards against a daemon of an older version that refuses a field added later.
 func TestUnknownFieldIsSkipped(t *testing.T) {
 	m, err := ReadFirst(bytes.NewReader(raw(KindNotice, "\xa2\x03\xa1\x01\x07\x18\x63\x81\x00")))
--- a/internal/wire/validate.go
+++ b/internal/wire/validate.go
@@ -4,6 +4,8 @@
 	"math"
 	"strings"
 
+	"golang.org/x/net/http/httpguts"
+
 	"guavapoint.example/guavapoint/internal/core/call"
 )
 
@@ -61,16 +63,31 @@
 	switch {
 	case h.Outcome > call.OutcomeNotRun:
 		return &FieldError{k, "Outcome", h.Outcome, "unknown, answered or not-run"}
-	case h.Status < 0 || h.Status > 999:
-		return &FieldError{k, "Status", h.Status, "0 to 999"}
+	case h.Outcome == call.OutcomeAnswered && (h.Status < 200 || h.Status > 599):
+		return &FieldError{k, "Status", h.Status, "200 to 599"}
+	case h.Status < 0 || h.Status > 599:
+		return &FieldError{k, "Status", h.Status, "0 to 599"}
 	case h.BodyLength < -1:
 		return &FieldError{k, "BodyLength", h.BodyLength, "-1 or more"}
 	case h.UnusedRetries < 0:
 		return &FieldError{k, "Unspent", h.UnusedRetries, "0 or more"}
 	}
+	if err := validateNames(k, h.Header); err != nil {
+		return err
+	}
 	return h.Backend.validate(k)
 }
 
+// validateNames rejects names of fields that a caller could read in another way.
+func validateNames(k Kind, fields []Header) error {
+	for _, f := range fields {
+		if !httpguts.ValidHeaderFieldName(f.Name) {
+			return &FieldError{k, "Header", f.Name, "the name of a field"}
+		}
+	}
+	return nil
+}
+
 func (t *Trailer) validate() error {
 	k := KindTrailer
 	switch {
@@ -100,6 +117,9 @@
 		return m.Departures.validate()
 	}
 	if m.ResolveAnswer != nil {
+		if err := validateNames(KindRequest, m.ResolveAnswer.Header); err != nil {
+			return err
+		}
 		return m.ResolveAnswer.Backend.validate(KindRequest)
 	}
 	return nil
