Reset the connection of an HTTP/1.0 caller whose answer breaks off

A caller with HTTP/1.0 got the part of an answer that broke off at the backend server as a whole one.

Cause: net/http closes the connection of an aborted response in order. A response in HTTP/1.0 has no chunks, so that its body ends there by rule.

Ruled out: callers with HTTP/1.1 (a chunk or a length is missing).

Change: a handler that aborts its response resets the connection if the request came in HTTP/1.0.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -180,6 +180,20 @@
 	}
 }
 
+// resetIfAborted resets the connection when the handler that defers it aborts its response. The body of a response in HTTP/1.0
+// ends with the connection, so that a truncated one would look complete otherwise.
+func (c *conn) resetIfAborted() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	c.abort()
+	panic(p)
+}
+
 // CloseWrite closes the connection for writing. net/http calls it after a response to a request that it doesn't read to its
 // end.
 func (c *conn) CloseWrite() error {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -217,6 +217,9 @@
 		if r.ContentLength != 0 {
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout)) // fails only on a closed connection
 		}
+		if c != nil && !r.ProtoAtLeast(1, 1) {
+			defer c.resetIfAborted()
+		}
 		serve.ServeHTTP(w, r)
 	})
 }
