Count the drain limit from the announced begin

A daemon that is frozen between SIGTERM and the begin of its drain may be killed at the end of the grace time, with its requests.

Cause: the window of a stop counts from the announced begin, but the limit counted from the actual one.

Ruled out: the refusals before the exit (they follow the window).

Change: the limit counts from the announced begin; the shortest time still from the actual one, up to the limit.

Evidence: TestFreezeBeforeTheDrainDoesNotExtendIt, with a clock of its own, failed before ("still there at the limit") and passes now.

--- a/internal/daemon/drainstate.go
+++ b/internal/daemon/drainstate.go
@@ -104,14 +104,15 @@
 	d.callerRequests--
 }
 
-// begin starts the drain. Later calls have no effect.
+// begin starts the drain. Later calls have no effect. The limit counts from the announced begin, if there is one: a process
+// that is frozen may begin later than it has announced, and is killed no later for that.
 func (d *drainState) begin(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.tracker.Phase() == drain.Open {
 		d.begun = now
 		d.setWindow(now)
-		d.tracker.Begin(now)
+		d.tracker.Begin(d.window.Exit.Add(-d.times.limit))
 	}
 }
 
@@ -129,15 +130,18 @@
 	return d.tracker.Phase() != drain.Open && now.Sub(d.begun) >= d.times.minTime
 }
 
-// canExit reports whether the daemon can exit: the shortest time has passed, and nothing is in flight or the limit has
-// passed.
+// canExit reports whether the daemon can exit: the limit has passed, or the shortest time has and nothing is in flight.
 func (d *drainState) canExit(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.tracker.CanExit(now) || now.Sub(d.begun) < d.times.minTime {
+	switch {
+	case d.tracker.Phase() == drain.Open:
 		return false
+	case !now.Before(d.window.Exit):
+		return true
+	default:
+		return now.Sub(d.begun) >= d.times.minTime && d.tracker.CanExit(now) && d.callerRequests == 0
 	}
-	return d.callerRequests == 0 || now.Sub(d.begun) >= d.times.limit
 }
 
 // inFlight returns the number of requests in flight, including those of callers.
--- a/internal/daemon/drainstate_test.go
+++ b/internal/daemon/drainstate_test.go
@@ -25,6 +25,30 @@
 	}
 }
 
+// Guards against a daemon that is killed at the end of its grace time because it was frozen between the request to stop and the
+// begin of its drain, and counts its limit from the late begin.
+func TestFreezeBeforeTheDrainDoesNotExtendIt(t *testing.T) {
+	asked := time.Unix(1000, 0)
+	const limit = 4 * time.Second
+	for _, caller := range []bool{false, true} {
+		d := newDrainState(drainTimes{minTime: ingressCloseDelay, lastStart: ingressCloseDelay, limit: limit})
+		if caller {
+			d.startCallerRequest()
+		} else {
+			d.startRequest()
+		}
+		begin := asked.Add(readinessDelay)
+		d.announce(begin)
+		d.begin(begin.Add(3 * time.Second))
+		if d.canExit(begin.Add(limit - 1)) {
+			t.Error("exits before the limit with a request in flight")
+		}
+		if !d.canExit(begin.Add(limit)) {
+			t.Error("still there at the limit")
+		}
+	}
+}
+
 // Guards against a daemon that is killed because its shutdown takes longer than the kill_after of the settings, also if
 // it must close connections on which no request was sent.
 func TestStopEndsBeforeKillAfter(t *testing.T) {
