--- a/internal/soak/crowd_test.go
+++ b/internal/soak/crowd_test.go
@@ -21,8 +21,9 @@
 type crowd struct {
 	name    string
 	clients int
-	reads   bool // the requests are idempotent
-	files   int  // limit of the daemon's descriptors; 0 leaves that of this process
+	reads   bool               // the requests are idempotent
+	target  func(v *vm) string // address that the clients send to; nil for that of the ingress
+	files   int                // limit of the daemon's descriptors; 0 leaves that of this process
 	// send sends what one client sends. newID returns the ID of its next request.
 	send func(w io.Writer, newID func() string) error
 }
@@ -40,9 +41,9 @@
 
 // crowds are the kinds of clients that the daemons must outlive.
 var crowds = []crowd{
-	{name: "heads that never end", clients: 1000, send: func(w io.Writer, newID func() string) error {
-		return repeat(w, headStart("GET", "/read/x", newID()), headSize, func(i int) string { return fmt.Sprintf("X-%d: %s\r\n", i, strings.Repeat("x", 1000)) })
-	}},
+	{name: "heads that never end", clients: 1000, send: longHead},
+	{name: "heads that never end at the heartbeat listener", clients: 1000, target: func(v *vm) string { return v.announceAddress }, send: longHead},
+	{name: "heads that never end at the ready listener", clients: 1000, target: func(v *vm) string { return v.readyAddress }, send: longHead},
 	{name: "heads of short fields that never end", clients: 200, send: func(w io.Writer, newID func() string) error {
 		return repeat(w, headStart("GET", "/read/x", newID()), headSize, func(i int) string { return fmt.Sprintf("%x:\r\n", 0x1000+i) })
 	}},
@@ -87,6 +88,11 @@
 	}},
 }
 
+// longHead sends a head without its end.
+func longHead(w io.Writer, newID func() string) error {
+	return repeat(w, headStart("GET", "/read/x", newID()), headSize, func(i int) string { return fmt.Sprintf("X-%d: %s\r\n", i, strings.Repeat("x", 1000)) })
+}
+
 // headStart returns the start of a request's head.
 func headStart(method, path, id string) string {
 	return method + " " + path + " HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: " + id + "\r\nX-Timeout-Ms: 60000\r\n"
@@ -128,8 +134,12 @@
 		v.backend.checker.recordSent(id, !c.reads)
 		return id
 	}
+	address := v.ingressAddress
+	if c.target != nil {
+		address = c.target(v)
+	}
 	for range c.clients {
-		conn, err := net.DialTimeout("tcp", v.ingressAddress, crowdSendTime)
+		conn, err := net.DialTimeout("tcp", address, crowdSendTime)
 		if err != nil {
 			continue // the daemon may refuse connections of a crowd
 		}
