Don't close a connection on which a request has just arrived

What callers saw: nothing; found by reading. A connection is chosen to make room while it is idle, and closed a moment later. A request that arrived in between, or was passed on, was cut off by that.

Cause: the choice and the end of a connection aren't one step, and only those with a body that arrives were looked at again.

Change: a connection that was waiting when it was chosen is closed only if it still is. Otherwise its request is refused, or goes on if it was passed on.

Evidence: TestRequestThatArrivesMeanwhileIsNotCutOff failed before for both.

--- a/internal/core/holdings/holdings.go
+++ b/internal/core/holdings/holdings.go
@@ -55,6 +55,11 @@
 	}
 }
 
+// IsWaiting reports whether no request has begun, or the last one has ended.
+func (s Stage) IsWaiting() bool {
+	return s == StageOpen || s == StageIdle || s == StageNext
+}
+
 // Connection is what the budget knows about a connection.
 type Connection struct {
 	stage   Stage
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -128,7 +128,7 @@
 func (c *conn) passOn() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.interrupted {
+	if c.interrupted || c.aborted {
 		return ErrNoRoom
 	}
 	c.state = statePassed
@@ -136,6 +136,18 @@
 	return nil
 }
 
+// abortIfWaiting marks the connection as closed unless the head of a request has arrived meanwhile: that request may run. It
+// reports whether the connection can be closed.
+func (c *conn) abortIfWaiting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state >= stateRequest {
+		return false
+	}
+	c.aborted = true
+	return true
+}
+
 // interrupt makes reads of the request fail, unless it has been passed on meanwhile.
 func (c *conn) interrupt() {
 	c.mu.Lock()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -126,7 +126,7 @@
 func (i *Intake) end(victims []victim) {
 	for _, v := range victims {
 		i.ended(v.stage)
-		if v.stage == holdings.StageBody {
+		if v.stage == holdings.StageBody || (v.stage.IsWaiting() && !v.conn.abortIfWaiting()) {
 			v.conn.interrupt()
 			continue
 		}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -273,3 +273,28 @@
 		t.Errorf("%+v", i.Usage())
 	}
 }
+
+// Guards against a request that is cut off because its connection was chosen to make room just before the request arrived.
+func TestRequestThatArrivesMeanwhileIsNotCutOff(t *testing.T) {
+	for _, passed := range []bool{false, true} {
+		i := New(holdings.Limits{Bytes: 10 << 20, Connections: 1}, time.Now, nil)
+		near, far := net.Pipe()
+		defer far.Close()
+		c := i.open(near)
+		_, chosen := i.budget.Open(time.Now())
+		victims := i.connsOf(chosen)
+		if len(victims) != 1 || victims[0].conn != c {
+			t.Fatalf("chose %v", victims)
+		}
+		c.beginRequest()
+		if passed {
+			if err := c.passOn(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		i.end(victims)
+		if c.aborted || c.isInterrupted() == passed {
+			t.Errorf("passed on %v: closed %v, interrupted %v", passed, c.aborted, c.isInterrupted())
+		}
+	}
+}
