Use the daemon's ticker loop for stalled uploads

The loop stood twice in internal/daemon. No change in what it does; TestStalledUploadsFreeTheirSlots and TestUploadIsCanceledOnlyForOthers pass as before.

--- a/internal/daemon/arrivingbody.go
+++ b/internal/daemon/arrivingbody.go
@@ -56,16 +56,7 @@
 
 // watch cancels the request when its body stalls while slotsTaken returns true, until the context ends.
 func (b *arrivingBody) watch(ctx context.Context, slotsTaken func() bool) {
-	ticker := time.NewTicker(bodyStallCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			b.check(slotsTaken)
-		}
-	}
+	every(ctx, bodyStallCheckInterval, func() { b.check(slotsTaken) })
 }
 
 // check cancels the request if its body stalls while all slots are taken.
