--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/peers-3"
 mkdir -p ../../target
-GOTOOLCHAIN=local GOFLAGS=-mod=mod go build -o ../../target/review-peers-3 .
+GOTOOLCHAIN=local GOFLAGS=-mod=mod go build -buildvcs=false -o ../../target/review-peers-3 .
