--- a/review/peers-3/main.go
+++ b/review/peers-3/main.go
@@ -30,7 +30,6 @@
 	"trailers": trailersCase,
 	"leaving":  leavingCase,
 	"limit":    limitCase,
-	"fields":   fieldsCase,
 	"born":     bornCase,
 }
 
